--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,3 @@
+//! The operators' command line.
+
+fn main() {}
--- /dev/null
+++ b/crates/core/src/connection/mod.rs
@@ -0,0 +1,1 @@
+//! State that lives as long as a connection.
--- /dev/null
+++ b/crates/core/src/process/mod.rs
@@ -0,0 +1,3 @@
+//! State that lives as long as the process.
+
+pub mod bucket;
--- /dev/null
+++ b/crates/core/src/request/access.rs
@@ -0,0 +1,224 @@
+//! Maps a request to its route and workspace.
+
+use azurenotch_config::{
+    document::{Access as Mode, Route},
+    snapshot::{KeyHash, Snapshot},
+};
+use azurenotch_wire::{
+    Map,
+    id::{Route as Name, Workspace},
+    refusal::{Reason, Refusal},
+};
+use sha2::{Digest, Sha256};
+use std::sync::Arc;
+use subtle::ConstantTimeEq;
+
+/// Bytes of a key's hash by which candidates are found before the constant-time comparison.
+const INDEX_BYTES: usize = 8;
+
+/// Result of an access decision.
+pub type Result<T, E = Refusal> = std::result::Result<T, E>;
+
+/// Routes and keys of one configuration version, prepared for one decision per request.
+#[derive(Debug, Default)]
+pub struct Access {
+    /// Routes with the longest prefix first.
+    routes: Vec<(Name, Arc<Route>)>,
+    keys: Map<[u8; INDEX_BYTES], Vec<Entry>>,
+}
+
+#[derive(Debug)]
+struct Entry {
+    hash: KeyHash,
+    workspace: Workspace,
+    withdrawn: bool,
+}
+
+/// Route and workspace of an admitted request.
+#[derive(Debug, Clone)]
+pub struct Grant {
+    /// Name of the route.
+    pub name: Name,
+    /// The route.
+    pub route: Arc<Route>,
+    /// Workspace and key of a keyed request; `None` on an open route.
+    pub holder: Option<Holder>,
+}
+
+/// Workspace that a key stands for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Holder {
+    /// The workspace.
+    pub workspace: Workspace,
+    /// Hash of the key, to end the request when the key is withdrawn.
+    pub key: KeyHash,
+}
+
+impl Access {
+    /// Prepares the routes and keys of a snapshot.
+    pub fn new(snapshot: &Snapshot) -> Self {
+        let mut routes = snapshot
+            .document
+            .routes
+            .iter()
+            .map(|(name, route)| (name.clone(), Arc::new(route.clone())))
+            .collect::<Vec<_>>();
+        routes.sort_by_key(|(_, route)| std::cmp::Reverse(route.prefix.len()));
+        let mut keys = Map::<_, Vec<Entry>>::default();
+        for (hash, key) in &snapshot.keys {
+            keys.entry(index(hash)).or_default().push(Entry {
+                hash: *hash,
+                workspace: key.workspace.clone(),
+                withdrawn: key.withdrawn,
+            });
+        }
+        Self { routes, keys }
+    }
+
+    /// Decides for which route and workspace a request runs.
+    ///
+    /// `authorization` is the value of the caller's `authorization` header.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal with outcome `not-run` if no route matches or the key is missing,
+    /// unknown or withdrawn.
+    pub fn admit(&self, method: &str, path: &str, authorization: Option<&[u8]>) -> Result<Grant> {
+        let (name, route) = self
+            .routes
+            .iter()
+            .find(|(_, route)| matches(route, method, path))
+            .ok_or(Refusal::not_run(Reason::NoRoute))?;
+        let holder = match route.access {
+            Mode::Open => None,
+            Mode::Keyed => Some(self.holder(authorization)?),
+        };
+        Ok(Grant {
+            name: name.clone(),
+            route: Arc::clone(route),
+            holder,
+        })
+    }
+
+    /// Returns whether a key is known and not withdrawn.
+    pub fn is_valid(&self, hash: &KeyHash) -> bool {
+        self.find(hash).is_some_and(|entry| !entry.withdrawn)
+    }
+
+    fn holder(&self, authorization: Option<&[u8]>) -> Result<Holder> {
+        let key = authorization
+            .and_then(bearer)
+            .ok_or(Refusal::not_run(Reason::NoKey))?;
+        let hash = hash(key);
+        match self.find(&hash) {
+            None => Err(Refusal::not_run(Reason::BadKey)),
+            Some(entry) if entry.withdrawn => Err(Refusal::not_run(Reason::Withdrawn)),
+            Some(entry) => Ok(Holder {
+                workspace: entry.workspace.clone(),
+                key: hash,
+            }),
+        }
+    }
+
+    fn find(&self, hash: &KeyHash) -> Option<&Entry> {
+        let candidates = self.keys.get(&index(hash))?;
+        candidates
+            .iter()
+            .find(|entry| bool::from(entry.hash.0.ct_eq(&hash.0)))
+    }
+}
+
+/// Returns the hash under which a key is stored.
+pub fn hash(key: &[u8]) -> KeyHash {
+    KeyHash(Sha256::digest(key).into())
+}
+
+fn index(hash: &KeyHash) -> [u8; INDEX_BYTES] {
+    let mut bytes = [0; INDEX_BYTES];
+    bytes.copy_from_slice(&hash.0[..INDEX_BYTES]);
+    bytes
+}
+
+fn bearer(value: &[u8]) -> Option<&[u8]> {
+    let (scheme, key) = value.split_at_checked("Bearer ".len())?;
+    (scheme.eq_ignore_ascii_case(b"Bearer ") && !key.is_empty()).then_some(key)
+}
+
+/// Returns whether the prefix matches up to a segment border, so that `/a` does not match `/ab`.
+fn matches(route: &Route, method: &str, path: &str) -> bool {
+    let Some(rest) = path.strip_prefix(route.prefix.as_str()) else {
+        return false;
+    };
+    let at_border = rest.is_empty() || rest.starts_with('/') || route.prefix.ends_with('/');
+    at_border && route.methods.iter().any(|known| known == method)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use azurenotch_config::{document::Document, snapshot::Key};
+    use std::{collections::BTreeMap, time::Duration};
+    use test_case::test_case;
+
+    fn route(prefix: &str, access: Mode) -> Route {
+        Route {
+            service: "consulta".into(),
+            prefix: prefix.to_owned(),
+            methods: vec!["GET".to_owned()],
+            access,
+            idempotent: true,
+            timeout: Duration::from_secs(1),
+            body_limit: 1024,
+        }
+    }
+
+    fn access() -> Access {
+        let key = |name: &str, withdrawn| Key {
+            workspace: name.into(),
+            name: "first".to_owned(),
+            withdrawn,
+        };
+        Access::new(&Snapshot {
+            document: Document {
+                routes: BTreeMap::from([
+                    ("labels".into(), route("/labels", Mode::Keyed)),
+                    ("public".into(), route("/labels/public", Mode::Open)),
+                ]),
+                ..Document::default()
+            },
+            keys: BTreeMap::from([
+                (hash(b"good"), key("correios", false)),
+                (hash(b"gone"), key("hoteis", true)),
+            ]),
+            ..Snapshot::default()
+        })
+    }
+
+    struct Case {
+        method: &'static str,
+        path: &'static str,
+        authorization: Option<&'static str>,
+        expected: std::result::Result<Option<&'static str>, Reason>,
+    }
+
+    #[test_case(Case { method: "GET", path: "/labels/1", authorization: Some("Bearer good"), expected: Ok(Some("correios")) }; "valid key")]
+    #[test_case(Case { method: "GET", path: "/labels/1", authorization: Some("bearer good"), expected: Ok(Some("correios")) }; "scheme is case insensitive")]
+    #[test_case(Case { method: "GET", path: "/labels/1", authorization: None, expected: Err(Reason::NoKey) }; "missing key")]
+    #[test_case(Case { method: "GET", path: "/labels/1", authorization: Some("Bearer "), expected: Err(Reason::NoKey) }; "empty key")]
+    #[test_case(Case { method: "GET", path: "/labels/1", authorization: Some("Bearer other"), expected: Err(Reason::BadKey) }; "unknown key")]
+    #[test_case(Case { method: "GET", path: "/labels/1", authorization: Some("Bearer gone"), expected: Err(Reason::Withdrawn) }; "withdrawn key")]
+    #[test_case(Case { method: "GET", path: "/labels/public/x", authorization: None, expected: Ok(None) }; "open route wins by longer prefix")]
+    #[test_case(Case { method: "GET", path: "/labelsx", authorization: Some("Bearer good"), expected: Err(Reason::NoRoute) }; "prefix ends at a segment border")]
+    #[test_case(Case { method: "POST", path: "/labels/1", authorization: Some("Bearer good"), expected: Err(Reason::NoRoute) }; "method not taken")]
+    fn admits_only_the_workspace_of_the_key(case: Case) {
+        let result = access().admit(
+            case.method,
+            case.path,
+            case.authorization.map(str::as_bytes),
+        );
+        let actual = result
+            .map(|grant| grant.holder.map(|holder| holder.workspace.to_string()))
+            .map_err(|refusal| refusal.reason);
+        assert_eq!(actual, case.expected.map(|name| name.map(str::to_owned)));
+    }
+}
--- /dev/null
+++ b/crates/core/src/request/header.rs
@@ -0,0 +1,86 @@
+//! Headers that pass between caller, host and backend server.
+
+use azurenotch_wire::refusal;
+use http::{HeaderMap, HeaderName, header};
+
+/// Headers that concern one connection only and are never passed on.
+const HOP_BY_HOP: [HeaderName; 8] = [
+    header::CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+];
+
+/// Headers that a caller must not set, because a backend server trusts the host's values, and the
+/// key itself.
+const RESERVED: [HeaderName; 7] = [
+    header::AUTHORIZATION,
+    refusal::WORKSPACE,
+    refusal::REQUEST,
+    refusal::DEADLINE,
+    refusal::OUTCOME,
+    refusal::REASON,
+    refusal::ALTERNATIVES,
+];
+
+/// Removes what a backend server must not see from a caller's headers.
+pub fn clean_request(headers: &mut HeaderMap) {
+    remove_hop_by_hop(headers);
+    for name in &RESERVED {
+        headers.remove(name);
+    }
+}
+
+/// Removes what a caller must not see from a backend server's headers.
+pub fn clean_response(headers: &mut HeaderMap) {
+    remove_hop_by_hop(headers);
+    for name in &RESERVED {
+        headers.remove(name);
+    }
+}
+
+/// Removes the standard hop-by-hop headers and those that `connection` names.
+fn remove_hop_by_hop(headers: &mut HeaderMap) {
+    let named = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse::<HeaderName>().ok())
+        .collect::<Vec<_>>();
+    for name in named.iter().chain(&HOP_BY_HOP) {
+        headers.remove(name);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use http::HeaderValue;
+    use test_case::test_case;
+
+    struct Case {
+        name: &'static str,
+        kept: bool,
+    }
+
+    #[test_case(Case { name: "authorization", kept: false }; "key")]
+    #[test_case(Case { name: "azurenotch-workspace", kept: false }; "forged workspace")]
+    #[test_case(Case { name: "azurenotch-request", kept: false }; "forged request id")]
+    #[test_case(Case { name: "transfer-encoding", kept: false }; "hop by hop")]
+    #[test_case(Case { name: "x-named", kept: false }; "named by connection")]
+    #[test_case(Case { name: "accept", kept: true }; "ordinary header")]
+    fn backend_servers_see_only_end_to_end_headers(case: Case) {
+        let mut headers = HeaderMap::new();
+        headers.insert("connection", HeaderValue::from_static("close, X-Named"));
+        headers.append(case.name, HeaderValue::from_static("value"));
+        headers.append(case.name, HeaderValue::from_static("second"));
+        clean_request(&mut headers);
+        assert_eq!(headers.contains_key(case.name), case.kept);
+        assert!(!headers.contains_key("connection"));
+    }
+}
--- /dev/null
+++ b/crates/core/src/request/mod.rs
@@ -0,0 +1,5 @@
+//! Decisions about one request.
+
+pub mod access;
+pub mod deadline;
+pub mod header;
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,1 @@
+//! placeholder
--- /dev/null
+++ b/crates/daemon/src/main.rs
@@ -0,0 +1,3 @@
+//! The daemon of an entry host.
+
+fn main() {}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,17 @@
+//! Types that cross a process border in azurenotch.
+//!
+//! Every message between hosts, towards operators and in a refusal to a caller is defined here,
+//! so that the daemon, the command line and tests share one definition.
+
+pub mod budget;
+pub mod event;
+pub mod evidence;
+pub mod id;
+pub mod map;
+pub mod operator;
+pub mod peer;
+pub mod refusal;
+pub mod time;
+pub mod version;
+
+pub use map::{Map, Set};
