feat(core): decide what a repeated Idempotency-Key means

Cause: a repeat may reach any host, also after the first answer or the answer of the record's write was lost.

--- a/crates/core/src/request/mod.rs
+++ b/crates/core/src/request/mod.rs
@@ -3,3 +3,4 @@
 pub mod access;
 pub mod deadline;
 pub mod header;
+pub mod once;
--- a/crates/wire/src/refusal.rs
+++ b/crates/wire/src/refusal.rs
@@ -81,6 +81,8 @@
     StoreDown,
     #[display("in-progress")]
     InProgress,
+    #[display("outcome-lost")]
+    OutcomeLost,
     #[display("timeout")]
     Timeout,
     #[display("broken-answer")]
@@ -106,7 +108,7 @@
             | Self::Isolated
             | Self::NoConfiguration
             | Self::StoreDown => StatusCode::SERVICE_UNAVAILABLE,
-            Self::InProgress => StatusCode::CONFLICT,
+            Self::InProgress | Self::OutcomeLost => StatusCode::CONFLICT,
             Self::Timeout => StatusCode::GATEWAY_TIMEOUT,
             Self::BrokenAnswer | Self::LostServer => StatusCode::BAD_GATEWAY,
         }
