--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -7,6 +7,7 @@
 };
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
 
 /// State in which a host sees itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display, Serialize, Deserialize)]
@@ -33,7 +34,11 @@
     /// Its data centre.
     pub data_centre: DataCentre,
     /// Address where it takes callers.
-    pub address: std::net::SocketAddr,
+    pub address: SocketAddr,
+    /// Address where it takes messages of other hosts.
+    pub peer: SocketAddr,
+    /// Address of its operators' interface.
+    pub operator: SocketAddr,
     /// State in which it sees itself.
     pub state: State,
     /// Hybrid logical time of sending.
