feat(platform): add the HTTP adapter for table, store and roster

The daemon needs to reach the platform over HTTP and to know whether a failed write may have taken effect.

A connection is driven only by the call that uses it and counts the bytes written, so that a failed write is Unavailable exactly if no byte was written, and Ambiguous otherwise.

Performance was not measured.

--- /dev/null
+++ b/crates/platform/src/http/link.rs
@@ -0,0 +1,177 @@
+//! One connection to the platform.
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::client::conn::http1::{self, Connection, SendRequest};
+use hyper_util::rt::TokioIo;
+use snafu::{ResultExt, Snafu};
+use std::{
+    future::poll_fn,
+    io::{self, IoSlice},
+    net::SocketAddr,
+    pin::{Pin, pin},
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    task::{Context, Poll},
+};
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    net::TcpStream,
+};
+
+/// Connection that is driven only while a call uses it.
+///
+/// No background task writes to it, so that the number of written bytes is final as soon as the
+/// call ends or is dropped.
+pub(super) struct Link {
+    sender: SendRequest<Full<Bytes>>,
+    connection: Connection<TokioIo<Meter>, Full<Bytes>>,
+    written: Arc<AtomicU64>,
+}
+
+impl Link {
+    pub(super) async fn connect(address: SocketAddr) -> Result<Self, Error> {
+        let stream = TcpStream::connect(address).await.context(ConnectSnafu)?;
+        stream.set_nodelay(true).context(ConnectSnafu)?;
+        let written = Arc::new(AtomicU64::new(0));
+        let meter = Meter {
+            stream,
+            written: Arc::clone(&written),
+        };
+        let (sender, connection) = http1::handshake(TokioIo::new(meter))
+            .await
+            .context(ExchangeSnafu)?;
+        Ok(Self {
+            sender,
+            connection,
+            written,
+        })
+    }
+
+    /// Sends a request and reads the whole answer.
+    pub(super) async fn exchange(
+        &mut self,
+        request: Request<Full<Bytes>>,
+        limit: usize,
+        trace: &mut Trace,
+    ) -> Result<Response<Bytes>, Error> {
+        trace.follow(&self.written);
+        let sender = &mut self.sender;
+        let mut answer = pin!(async move {
+            let answer = sender.send_request(request).await.context(ExchangeSnafu)?;
+            let (head, body) = answer.into_parts();
+            let body = Limited::new(body, limit)
+                .collect()
+                .await
+                .context(BodySnafu)?;
+            Ok(Response::from_parts(head, body.to_bytes()))
+        });
+        tokio::select! {
+            biased;
+            result = &mut answer => result,
+            // The connection ends before the answer is consumed if the peer closes it.
+            _ = &mut self.connection => answer.await,
+        }
+    }
+
+    /// Returns whether the connection can take another request.
+    pub(super) async fn is_usable(&mut self) -> bool {
+        poll_fn(|context| {
+            let closed = Pin::new(&mut self.connection).poll(context).is_ready();
+            let ready = matches!(self.sender.poll_ready(context), Poll::Ready(Ok(())));
+            Poll::Ready(ready && !closed)
+        })
+        .await
+    }
+}
+
+/// Record of whether a call has written anything.
+#[derive(Debug, Default)]
+pub(super) struct Trace(Option<(Arc<AtomicU64>, u64)>);
+
+impl Trace {
+    /// Returns whether at least one byte was written during the call.
+    pub(super) fn sent(&self) -> bool {
+        self.0
+            .as_ref()
+            .is_some_and(|(written, start)| written.load(Ordering::Acquire) != *start)
+    }
+
+    fn follow(&mut self, written: &Arc<AtomicU64>) {
+        let start = written.load(Ordering::Acquire);
+        self.0 = Some((Arc::clone(written), start));
+    }
+}
+
+/// Why an exchange failed.
+#[derive(Debug, Snafu)]
+pub(super) enum Error {
+    #[snafu(display("failed to connect to the platform"))]
+    Connect { source: io::Error },
+    #[snafu(display("failed to exchange a message with the platform"))]
+    Exchange { source: hyper::Error },
+    #[snafu(display("failed to read the answer of the platform"))]
+    Body {
+        source: Box<dyn std::error::Error + Send + Sync>,
+    },
+}
+
+/// Stream that counts the bytes written to it.
+struct Meter {
+    stream: TcpStream,
+    written: Arc<AtomicU64>,
+}
+
+impl Meter {
+    fn count(&self, result: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        if let Poll::Ready(Ok(bytes)) = &result {
+            self.written.fetch_add(*bytes as u64, Ordering::AcqRel);
+        }
+        result
+    }
+}
+
+impl AsyncRead for Meter {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(context, buffer)
+    }
+}
+
+impl AsyncWrite for Meter {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let result = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.count(result)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let result = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
+        self.count(result)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
--- /dev/null
+++ b/crates/platform/src/http/pool.rs
@@ -0,0 +1,59 @@
+//! Idle connections to the platform.
+
+use super::link::Link;
+use parking_lot::Mutex;
+use std::{fmt, time::Duration};
+use tokio::time::Instant;
+
+/// Bounded stack of idle connections; the one used last is taken first.
+pub(super) struct Pool {
+    size: usize,
+    limit: Duration,
+    idle: Mutex<Vec<(Instant, Link)>>,
+}
+
+impl Pool {
+    pub(super) fn new(size: usize, limit: Duration) -> Self {
+        Self {
+            size,
+            limit,
+            idle: Mutex::default(),
+        }
+    }
+
+    /// Takes a connection that was open when it was last polled.
+    pub(super) async fn take(&self) -> Option<Link> {
+        loop {
+            let (since, mut link) = self.idle.lock().pop()?;
+            if since.elapsed() >= self.limit {
+                // Connections below this one on the stack have been idle for longer.
+                self.idle
+                    .lock()
+                    .retain(|(since, _)| since.elapsed() < self.limit);
+                continue;
+            }
+            if link.is_usable().await {
+                return Some(link);
+            }
+        }
+    }
+
+    /// Keeps a connection for later calls, unless enough are idle.
+    pub(super) fn give(&self, link: Link) {
+        let mut idle = self.idle.lock();
+        if idle.len() < self.size {
+            idle.push((Instant::now(), link));
+        }
+    }
+}
+
+impl fmt::Debug for Pool {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter
+            .debug_struct("Pool")
+            .field("size", &self.size)
+            .field("limit", &self.limit)
+            .field("idle", &self.idle.lock().len())
+            .finish()
+    }
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -3,6 +3,7 @@
 //! Each is a trait object at the border, so that the daemon, an embedder and tests can supply
 //! their own.
 
+pub mod http;
 pub mod roster;
 pub mod store;
 pub mod table;
