feat(core): divide a workspace's budget between hosts

A contract's rate, burst and concurrency have to hold over all hosts.

wire: Report gains region, token and leaving; Grant gains regional; Capacity gains component-wise arithmetic.

--- /dev/null
+++ b/crates/core/tests/budget_rules.rs
@@ -0,0 +1,387 @@
+//! Rules of the budget ledger and of shares, one by one.
+
+use azurenotch_config::document::Contract;
+use azurenotch_core::process::budget::{
+    Allocation, Entry, Floor, Ledger, Rejection, Reporter, Share, Supply, Timing, Write,
+};
+use azurenotch_wire::{
+    Map,
+    budget::{Capacity, Grant, Report, Slot, Usage},
+    id::{Host, Incarnation, Region, Workspace},
+    refusal::Reason,
+    time::Instant,
+};
+use std::{collections::BTreeMap, time::Duration};
+use test_case::test_case;
+
+const SLOTS: u32 = 4;
+
+fn workspace() -> Workspace {
+    Workspace::from("w")
+}
+
+fn contract(rate: f64, burst: f64, concurrency: u32) -> Contract {
+    Contract {
+        rate,
+        burst,
+        concurrency,
+        regional_share: BTreeMap::new(),
+        version_share_step: 0.1,
+        version_step_interval: Duration::from_secs(1),
+        latency: Duration::from_secs(1),
+        refusals: 0.01,
+        isolation_limit: Duration::from_secs(30),
+    }
+}
+
+fn supplies(contract: &Contract) -> BTreeMap<Workspace, Supply> {
+    BTreeMap::from([(workspace(), Supply::contract(&workspace(), contract, SLOTS))])
+}
+
+fn ledger(contract: &Contract, recorded: Allocation) -> Ledger {
+    let mut ledger = Ledger::new(7, Timing::default(), at(0), recorded);
+    ledger.supply(at(0), supplies(contract));
+    ledger
+}
+
+fn at(seconds: u64) -> Instant {
+    Instant::from_millis(seconds * 1_000)
+}
+
+fn report(slot: Slot, incarnation: u64, sequence: u64, demand: f64, held: Capacity) -> Report {
+    let usage = Usage {
+        demand,
+        held,
+        ..Usage::default()
+    };
+    Report {
+        host: Host::from("h"),
+        incarnation: Incarnation(incarnation),
+        slot,
+        region: Region::from("norte"),
+        token: 7,
+        leaving: false,
+        sequence,
+        usage: Map::from_iter([(workspace(), usage)]),
+    }
+}
+
+fn entry(incarnation: u64, rate: f64) -> Entry {
+    Entry {
+        incarnation: Incarnation(incarnation),
+        region: Region::from("norte"),
+        capacity: BTreeMap::from([(workspace(), all(rate))]),
+    }
+}
+
+fn all(value: f64) -> Capacity {
+    Capacity {
+        rate: value,
+        burst: value,
+        concurrency: value,
+    }
+}
+
+fn granted(grant: &Grant) -> Capacity {
+    grant
+        .capacity
+        .get(&workspace())
+        .copied()
+        .unwrap_or_default()
+}
+
+/// A ledger whose slot 0 holds everything and whose slot 1 has just gained the demand.
+fn shifting() -> (Ledger, Capacity) {
+    let mut ledger = ledger(&contract(100.0, 100.0, 100), Allocation::default());
+    ledger
+        .report(at(1), &report(0, 1, 1, 100.0, all(0.0)))
+        .unwrap();
+    ledger.tick(at(1)).unwrap();
+    ledger.recorded(Write::Done);
+    let held = granted(
+        &ledger
+            .report(at(2), &report(0, 1, 2, 100.0, all(0.0)))
+            .unwrap(),
+    );
+    assert_eq!(held, all(75.0));
+    ledger
+        .report(at(2), &report(1, 2, 1, 100.0, all(0.0)))
+        .unwrap();
+    ledger.renewed(at(2));
+    assert_eq!(ledger.tick(at(2)), None, "nothing is confirmed yet");
+    (ledger, held)
+}
+
+#[test]
+fn a_share_moves_only_after_the_decrease_is_confirmed_and_recorded() {
+    let (mut ledger, held) = shifting();
+    let smaller = granted(&ledger.report(at(3), &report(0, 1, 3, 0.0, held)).unwrap());
+    assert!(smaller.rate < held.rate);
+    assert_eq!(
+        ledger.tick(at(3)),
+        None,
+        "the decrease is granted but not confirmed"
+    );
+    ledger
+        .report(at(4), &report(0, 1, 4, 0.0, smaller))
+        .unwrap();
+    let next = ledger
+        .tick(at(4))
+        .expect("a confirmed decrease is recorded");
+    assert!(next.sum(&workspace()).rate <= 75.0 + 1e-9);
+    let early = ledger
+        .report(at(4), &report(1, 2, 2, 100.0, all(0.0)))
+        .unwrap();
+    assert!(granted(&early).is_zero(), "granted before it was recorded");
+    ledger.recorded(Write::Done);
+    let late = ledger
+        .report(at(5), &report(1, 2, 3, 100.0, all(0.0)))
+        .unwrap();
+    assert!(granted(&late).rate > 30.0);
+}
+
+#[test_case(Write::Ambiguous; "lost response")]
+#[test_case(Write::Conflict; "conflict")]
+fn a_doubtful_write_grants_the_minimum_and_is_repeated_unchanged(outcome: Write) {
+    let (mut ledger, held) = shifting();
+    let smaller = granted(&ledger.report(at(3), &report(0, 1, 3, 0.0, held)).unwrap());
+    ledger
+        .report(at(4), &report(0, 1, 4, 0.0, smaller))
+        .unwrap();
+    let next = ledger.tick(at(4)).unwrap();
+    ledger.recorded(outcome);
+    assert!(ledger.in_doubt() && ledger.tick(at(5)).is_none());
+    let first = granted(
+        &ledger
+            .report(at(5), &report(0, 1, 5, 500.0, smaller))
+            .unwrap(),
+    );
+    let second = granted(
+        &ledger
+            .report(at(5), &report(1, 2, 2, 500.0, all(0.0)))
+            .unwrap(),
+    );
+    assert!(first.rate <= smaller.rate && second.is_zero());
+    let old = ledger.allocation().clone();
+    ledger.reread(&old);
+    assert_eq!(ledger.tick(at(6)), Some(next.clone()));
+    ledger.recorded(Write::Ambiguous);
+    ledger.reread(&next);
+    assert_eq!(ledger.allocation(), &next);
+}
+
+#[test]
+fn a_silent_host_loses_its_share_after_contact_and_margin() {
+    let (mut ledger, _) = shifting();
+    let silent = at(2) + Timing::default().contact;
+    ledger.renewed(silent);
+    ledger
+        .report(silent, &report(1, 2, 2, 100.0, all(0.0)))
+        .unwrap();
+    assert_eq!(ledger.tick(silent), None);
+    let free = silent + Timing::default().margin;
+    let next = ledger.tick(free).expect("the silent share is free");
+    assert!(next.share(0, &workspace()).rate.abs() < 1e-9);
+    let running = next.share(0, &workspace()).concurrency;
+    assert!((running - 75.0).abs() < 1e-9, "requests may still run");
+    assert!((next.share(1, &workspace()).rate - 75.0).abs() < 1e-9);
+}
+
+#[test]
+fn holdover_answers_with_frozen_shares_until_hold() {
+    let (mut ledger, held) = shifting();
+    let lapsed = at(2) + Timing::default().lease;
+    assert_eq!(ledger.tick(lapsed), None);
+    let first = ledger.report(lapsed, &report(0, 1, 3, 0.0, held)).unwrap();
+    assert_eq!(granted(&first), held);
+    let second = ledger
+        .report(lapsed, &report(1, 2, 2, 500.0, all(0.0)))
+        .unwrap();
+    assert!(granted(&second).is_zero());
+    let restarted = ledger
+        .report(lapsed, &report(0, 9, 1, 500.0, all(0.0)))
+        .unwrap();
+    assert!(
+        granted(&restarted).is_zero(),
+        "only the recorded incarnation keeps its share"
+    );
+    let over = at(2) + Timing::default().hold;
+    assert_eq!(
+        ledger.report(over, &report(0, 1, 4, 0.0, held)),
+        Err(Rejection::Over { token: 7 })
+    );
+}
+
+#[test]
+fn a_takeover_keeps_unreported_shares_until_the_former_holder_is_over() {
+    let recorded = Allocation {
+        token: 6,
+        number: 3,
+        slots: BTreeMap::from([(0, entry(1, 50.0)), (1, entry(2, 25.0))]),
+    };
+    let mut ledger = ledger(&contract(100.0, 100.0, 100), recorded);
+    let held = granted(
+        &ledger
+            .report(at(1), &report(1, 2, 90, 500.0, all(25.0)))
+            .unwrap(),
+    );
+    assert_eq!(held, Capacity::ZERO, "no division yet");
+    let timing = Timing::default();
+    let end = at(0) + timing.hold + timing.contact + timing.margin;
+    let before = end - Duration::from_millis(1);
+    for (now, other) in [(before, 50.0), (end, 0.0)] {
+        ledger.renewed(now);
+        let sequence = now.as_nanos();
+        ledger
+            .report(now, &report(1, 2, sequence, 500.0, all(25.0)))
+            .unwrap();
+        let next = ledger.tick(now);
+        let share = next
+            .as_ref()
+            .unwrap_or(ledger.allocation())
+            .share(0, &workspace());
+        assert!((share.rate - other).abs() < 1e-9, "{share:?} at {now:?}");
+    }
+}
+
+#[test]
+fn a_new_incarnation_waits_until_the_old_one_is_over() {
+    let (mut ledger, held) = shifting();
+    let restarted = |sequence| report(0, 9, sequence, 100.0, all(0.0));
+    assert!(granted(&ledger.report(at(3), &restarted(1)).unwrap()).is_zero());
+    let awake = ledger.report(at(4), &report(0, 1, 3, 100.0, held)).unwrap();
+    assert!(
+        !granted(&awake).is_zero(),
+        "the old incarnation still owns the slot"
+    );
+    let mut second = 5;
+    while ledger.incarnation(0) != Some(Incarnation(9)) {
+        assert!(second < 60, "the slot never became free");
+        ledger.renewed(at(second));
+        ledger.report(at(second), &restarted(second)).unwrap();
+        if ledger.tick(at(second)).is_some() {
+            ledger.recorded(Write::Done);
+        }
+        second += 1;
+    }
+    assert!(
+        second > 4 + 5 + 30,
+        "freed after {second} s while old requests may run"
+    );
+}
+
+#[test]
+fn returned_tokens_are_passed_on_once_and_never_more() {
+    let (mut ledger, held) = shifting();
+    let smaller = granted(&ledger.report(at(3), &report(0, 1, 3, 0.0, held)).unwrap());
+    let mut confirm = report(0, 1, 4, 0.0, smaller);
+    confirm.usage.get_mut(&workspace()).unwrap().returned = 1_000.0;
+    ledger.report(at(4), &confirm).unwrap();
+    ledger.tick(at(4)).unwrap();
+    ledger.recorded(Write::Done);
+    let first = ledger
+        .report(at(5), &report(1, 2, 2, 100.0, all(0.0)))
+        .unwrap();
+    let tokens = first.tokens.get(&workspace()).copied().unwrap_or(0.0);
+    assert!(tokens > 0.0 && tokens <= held.burst - smaller.burst);
+    assert!(tokens <= granted(&first).burst);
+    let again = ledger
+        .report(at(6), &report(1, 2, 3, 100.0, all(0.0)))
+        .unwrap();
+    let total = tokens + again.tokens.get(&workspace()).copied().unwrap_or(0.0);
+    assert!(
+        total <= held.burst - smaller.burst,
+        "{total} tokens passed on"
+    );
+}
+
+#[test]
+fn a_region_stays_within_its_share() {
+    let mut limited = contract(100.0, 100.0, 100);
+    limited.regional_share.insert(Region::from("norte"), 0.4);
+    let mut ledger = ledger(&limited, Allocation::default());
+    for slot in 0..2 {
+        let report = report(slot, u64::from(slot), 1, 500.0, all(0.0));
+        ledger.report(at(1), &report).unwrap();
+    }
+    let next = ledger.tick(at(1)).unwrap();
+    ledger.recorded(Write::Done);
+    let floor = Floor::new(&workspace(), &limited, SLOTS);
+    let floors: f64 = (0..2)
+        .map(|slot| floor.slot(slot, &Region::from("norte")).rate)
+        .sum();
+    let sum = next.sum(&workspace()).rate + floors;
+    assert!(sum <= 40.0 + 1e-9 && sum > 30.0, "the region holds {sum}");
+    let grant = ledger
+        .report(at(2), &report(0, 0, 2, 500.0, all(0.0)))
+        .unwrap();
+    assert_eq!(grant.regional, vec![workspace()]);
+}
+
+#[test_case(100.0, 100.0, 100, 4; "large")]
+#[test_case(100.0, 11.0, 100, 2; "two tokens of burst")]
+#[test_case(100.0, 100.0, 7, 1; "one concurrent request")]
+#[test_case(100.0, 3.0, 100, 0; "no whole token")]
+fn floors_are_whole_units_within_a_quarter(rate: f64, burst: f64, concurrency: u32, some: usize) {
+    let floor = Floor::new(&workspace(), &contract(rate, burst, concurrency), SLOTS);
+    let floors: Vec<Capacity> = (0..SLOTS + 2).map(|slot| floor.largest(slot)).collect();
+    let sum = floors
+        .iter()
+        .fold(Capacity::ZERO, |sum, floor| sum.plus(*floor));
+    assert!(sum.rate <= rate / 4.0 + 1e-9 && sum.burst <= burst / 4.0);
+    assert!(sum.concurrency <= f64::from(concurrency) / 4.0);
+    let able = |floor: &&Capacity| floor.burst >= 1.0 && floor.concurrency >= 1.0;
+    assert_eq!(floors.iter().filter(able).count(), some);
+    assert_eq!(floors.iter().filter(|floor| !floor.is_zero()).count(), some);
+}
+
+#[test]
+fn a_share_lapses_by_its_own_clock_and_refuses_with_a_reason() {
+    let timing = Timing::default();
+    let mut reporter = Reporter::new(
+        Host::from("h"),
+        Incarnation(1),
+        0,
+        Region::from("norte"),
+        timing,
+    );
+    let mut share = Share::new(at(0));
+    share.set_floor(at(0), Capacity::ZERO, at(1_000));
+    let grant = |token, sequence| Grant {
+        token,
+        sequence,
+        capacity: Map::from_iter([(workspace(), all(2.0))]),
+        tokens: Map::from_iter([(workspace(), 2.0)]),
+        regional: Vec::new(),
+    };
+    reporter.report(at(0), 7, false, Map::default);
+    reporter.report(at(1), 7, false, Map::default);
+    assert_eq!(
+        reporter.accept(at(1), &grant(7, 1)),
+        None,
+        "answer to an older report"
+    );
+    assert_eq!(reporter.accept(at(1), &grant(6, 2)), None, "former holder");
+    let until = reporter
+        .accept(at(2), &grant(7, 2))
+        .expect("answer to the latest report");
+    assert_eq!(until, at(1) + timing.contact);
+    assert_eq!(reporter.accept(at(2), &grant(7, 2)), None, "duplicate");
+    share.apply(at(2), &workspace(), &grant(7, 2), until);
+    assert_eq!(share.admit(at(2)), Ok(()));
+    assert_eq!(share.admit(at(2)), Ok(()));
+    assert_eq!(share.admit(at(3)).unwrap_err().reason, Reason::Concurrency);
+    share.finish(at(3));
+    share.finish(at(3));
+    assert!(share.admit(until - Duration::from_millis(1)).is_ok());
+    share.finish(until);
+    assert_eq!(share.admit(until).unwrap_err().reason, Reason::Concurrency);
+    assert!(share.usable(until).is_zero());
+    reporter.report(at(10), 7, false, Map::default);
+    let late = at(10) + timing.contact;
+    assert_eq!(
+        reporter.accept(late, &grant(7, 3)),
+        None,
+        "usable until has passed"
+    );
+}
--- a/crates/wire/src/budget.rs
+++ b/crates/wire/src/budget.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     Map,
-    id::{Host, Incarnation, Workspace},
+    id::{Host, Incarnation, Region, Workspace},
 };
 use serde::{Deserialize, Serialize};
 
@@ -20,6 +20,54 @@
     pub concurrency: f64,
 }
 
+impl Capacity {
+    /// No capacity.
+    pub const ZERO: Self = Self {
+        rate: 0.0,
+        burst: 0.0,
+        concurrency: 0.0,
+    };
+
+    /// Combines two capacities component by component.
+    #[must_use]
+    pub fn zip(self, other: Self, combine: impl Fn(f64, f64) -> f64) -> Self {
+        Self {
+            rate: combine(self.rate, other.rate),
+            burst: combine(self.burst, other.burst),
+            concurrency: combine(self.concurrency, other.concurrency),
+        }
+    }
+
+    /// Returns the smaller of each component.
+    #[must_use]
+    pub fn min(self, other: Self) -> Self {
+        self.zip(other, f64::min)
+    }
+
+    /// Returns the larger of each component.
+    #[must_use]
+    pub fn max(self, other: Self) -> Self {
+        self.zip(other, f64::max)
+    }
+
+    /// Returns the sum of each component.
+    #[must_use]
+    pub fn plus(self, other: Self) -> Self {
+        self.zip(other, |a, b| a + b)
+    }
+
+    /// Returns the difference of each component, or zero where `other` is larger.
+    #[must_use]
+    pub fn minus(self, other: Self) -> Self {
+        self.zip(other, |a, b| (a - b).max(0.0))
+    }
+
+    /// Returns whether no component is positive.
+    pub fn is_zero(self) -> bool {
+        self.rate <= 0.0 && self.burst <= 0.0 && self.concurrency <= 0.0
+    }
+}
+
 /// What a host tells the holder of the budget role about one workspace.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
 pub struct Usage {
@@ -42,6 +90,12 @@
     pub incarnation: Incarnation,
     /// Slot that it claimed.
     pub slot: Slot,
+    /// Region where it stands, for the contract's regional share.
+    pub region: Region,
+    /// Highest fencing token that the host knows; it accepts no grant with a lower one.
+    pub token: u64,
+    /// Whether the host stops: it uses no elastic capacity from now on.
+    pub leaving: bool,
     /// Number of this report, which the grant repeats.
     pub sequence: u64,
     /// Usage of each workspace with demand or elastic capacity.
@@ -59,4 +113,6 @@
     pub capacity: Map<Workspace, Capacity>,
     /// Tokens that other hosts gave back and that this host receives.
     pub tokens: Map<Workspace, f64>,
+    /// Workspaces for which the regional share limits the capacity.
+    pub regional: Vec<Workspace>,
 }
