--- a/crates/core/src/process/mod.rs
+++ b/crates/core/src/process/mod.rs
@@ -2,3 +2,4 @@
 
 pub mod bucket;
 pub mod slot;
+pub mod budget;
