feat(core): choose which configuration to adopt and from where

A host learns of versions from heartbeats and from the head, and must move forward only, also when the store is down or a source returns wrong bytes.

No performance was measured.

--- a/crates/core/src/process/mod.rs
+++ b/crates/core/src/process/mod.rs
@@ -1,4 +1,5 @@
 //! State that lives as long as the process.
 
+pub mod adoption;
 pub mod bucket;
 pub mod lease;
