--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -3,6 +3,7 @@
 //! No shipped binary links this crate.
 
 pub mod backend;
+pub mod caller;
 
 pub mod fault;
 pub mod memory;
