--- a/crates/platform/src/http/mod.rs
+++ b/crates/platform/src/http/mod.rs
@@ -6,9 +6,9 @@
 //! * `PUT /table/KEY` carries `If-Match: "VERSION"` or `If-None-Match: *` and answers `204` with
 //!   the new `ETag`. `DELETE /table/KEY` carries `If-Match`.
 //! * [`FENCE`] on a write names the lease row and the token that it must hold.
-//! * A refused write answers `412`: with [`FAILED`]` : fence` if the fence does not hold, and
-//!   otherwise with the current row in the body and its `ETag`, or without `ETag` if there is no
-//!   row.
+//! * A refused write answers `412`. If the fence does not hold, [`FAILED`] has the value
+//!   [`FAILED_FENCE`]. Otherwise the body is the current row with its `ETag`, or there is no
+//!   `ETag` if there is no row.
 //! * `GET /object/NAME` and `PUT /object/NAME`.
 //! * `GET /roster` answers a JSON list of [`Entry`](crate::roster::Entry).
 //! * A `5xx` answer to a write leaves open whether it took effect, unless its body is a
--- a/crates/test-support/src/fault.rs
+++ b/crates/test-support/src/fault.rs
@@ -73,6 +73,7 @@
 
 /// Values for each kind of endpoint.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Each<T> {
     /// Value of the table.
     pub table: T,
