feat(platform): bound the connections of the HTTP client

A platform that accepts calls and never answers let every waiting call open a connection of its own.

Calls now wait for one of a set number of permits, within their timeout. The tests also cover timeouts of the platform in memory, stores and rosters in memory, and a write that is cut while it is sent.

--- a/crates/platform/src/http/mod.rs
+++ b/crates/platform/src/http/mod.rs
@@ -31,7 +31,7 @@
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 use std::{net::SocketAddr, time::Duration};
-use tokio::time;
+use tokio::{sync::Semaphore, time};
 
 /// Header that names the lease row and the token of a fenced write, as `KEY=TOKEN`.
 pub const FENCE: HeaderName = HeaderName::from_static("azurenotch-fence");
@@ -42,6 +42,7 @@
 
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(1);
 const DEFAULT_RESPONSE_LIMIT: usize = 64 * 1024 * 1024;
+const DEFAULT_CONNECTIONS: usize = 64;
 const DEFAULT_IDLE_CONNECTIONS: usize = 8;
 const DEFAULT_IDLE_LIMIT: Duration = Duration::from_secs(5);
 
@@ -63,7 +64,7 @@
 /// Client of a platform that speaks HTTP.
 ///
 /// A write is sent at most once per call. A call never outlives its timeout, which covers
-/// connecting, sending and reading the whole answer. Dropping a call closes its connection.
+/// waiting for a connection, connecting, sending and reading the whole answer. Dropping a call closes its connection.
 ///
 /// # Examples
 ///
@@ -80,6 +81,7 @@
     address: SocketAddr,
     timeout: Duration,
     response_limit: usize,
+    permits: Semaphore,
     pool: Pool,
 }
 
@@ -90,11 +92,12 @@
             address,
             timeout: DEFAULT_TIMEOUT,
             response_limit: DEFAULT_RESPONSE_LIMIT,
+            permits: Semaphore::new(DEFAULT_CONNECTIONS),
             pool: Pool::new(DEFAULT_IDLE_CONNECTIONS, DEFAULT_IDLE_LIMIT),
         }
     }
 
-    /// Sets how long a call may take, from connecting to the end of the answer.
+    /// Sets how long a call may take, from waiting for a connection to the end of the answer.
     #[must_use]
     pub fn timeout(mut self, timeout: Duration) -> Self {
         self.timeout = timeout;
@@ -108,6 +111,13 @@
         self
     }
 
+    /// Sets how many calls run at once, each on its own connection; further calls wait.
+    #[must_use]
+    pub fn connections(mut self, connections: usize) -> Self {
+        self.permits = Semaphore::new(connections);
+        self
+    }
+
     /// Sets how many idle connections are kept, and for how long.
     #[must_use]
     pub fn idle(mut self, connections: usize, limit: Duration) -> Self {
@@ -133,6 +143,8 @@
         request: Request<Full<Bytes>>,
         trace: &mut Trace,
     ) -> Result<Response<Bytes>, link::Error> {
+        // The semaphore is never closed, so that this waits for a permit or the timeout.
+        let _permit = self.permits.acquire().await;
         if let Some(mut link) = self.pool.take().await {
             match link
                 .exchange(request.clone(), self.response_limit, trace)
--- a/crates/platform/tests/http.rs
+++ b/crates/platform/tests/http.rs
@@ -118,38 +118,27 @@
 #[tokio::test]
 async fn store_and_roster_are_unavailable(fault: Fault) {
     let (server, client) = server().await;
-    server.set_fault(Endpoint::Object, fault.clone());
-    let unavailable = |error| matches!(error, store::Error::Unavailable { .. });
-    assert!(
-        store::Store::get(&client, "a")
-            .await
-            .is_err_and(unavailable)
-    );
-    assert!(
-        store::Store::put(&client, "a", b"x")
-            .await
-            .is_err_and(unavailable)
-    );
-    client.list().await.expect("the roster has no fault");
+    let memory = memory::Platform::new(SEED).timeout(TIMEOUT);
+    let platforms: [(&dyn store::Store, &dyn Roster, &memory::Platform); 2] = [
+        (&client, &client, server.platform()),
+        (&memory, &memory, &memory),
+    ];
+    for (store, roster, platform) in platforms {
+        platform.set_fault(Endpoint::Object, fault.clone());
+        let unavailable = |error| matches!(error, store::Error::Unavailable { .. });
+        assert!(store.get("a").await.is_err_and(unavailable));
+        assert!(store.put("a", b"x").await.is_err_and(unavailable));
+        roster.list().await.expect("the roster has no fault");
 
-    server.set_fault(Endpoint::Object, Fault::default());
-    server.set_fault(Endpoint::Roster, fault);
-    let unavailable = |error| matches!(error, roster::Error::Unavailable);
-    assert!(client.list().await.is_err_and(unavailable));
-    store::Store::put(&client, "a", b"x")
-        .await
-        .expect("no fault");
-    assert_eq!(
-        store::Store::get(&client, "a")
-            .await
-            .expect("no fault")
-            .as_deref(),
-        Some(&b"x"[..])
-    );
-    assert_eq!(
-        store::Store::get(&client, "b").await.expect("no fault"),
-        None
-    );
+        platform.set_fault(Endpoint::Object, Fault::default());
+        platform.set_fault(Endpoint::Roster, fault.clone());
+        let unavailable = |error| matches!(error, roster::Error::Unavailable);
+        assert!(roster.list().await.is_err_and(unavailable));
+        store.put("a", b"x").await.expect("the store has no fault");
+        let bytes = store.get("a").await.expect("the store has no fault");
+        assert_eq!(bytes.as_deref(), Some(&b"x"[..]));
+        assert_eq!(store.get("b").await.expect("the store has no fault"), None);
+    }
 }
 
 // Guards against `Ambiguous` for a write that no socket took.
@@ -236,6 +225,80 @@
     assert_eq!(server.counters().table.received, 2);
 }
 
+// Guards against a platform in memory whose timeouts differ from those over HTTP.
+#[test_case(Fault { freeze: true, ..Fault::default() }, false; "frozen")]
+#[test_case(Fault { delay: TIMEOUT * 2, ..Fault::default() }, true; "delayed")]
+#[tokio::test(start_paused = true)]
+async fn timeout_in_memory(fault: Fault, takes_effect: bool) {
+    let memory = memory::Platform::new(SEED).timeout(TIMEOUT);
+    let table: &dyn Table = &memory;
+    memory.set_fault(Endpoint::Table, fault);
+    assert_eq!(class(&table.get(KEY).await), Class::Unavailable);
+    let write = table.put(KEY, b"own", Expect::Absent, None).await;
+    assert_eq!(class(&write), Class::Ambiguous);
+    time::sleep(TIMEOUT * 2).await;
+    memory.set_fault(Endpoint::Table, Fault::default());
+    let row = table.get(KEY).await.expect("the fault is gone");
+    assert_eq!(row.is_some(), takes_effect);
+}
+
+// Guards against a write that is cut while it is sent and taken for one that was not sent.
+#[tokio::test]
+async fn partly_sent_write_is_ambiguous() {
+    let listener = TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("a port is free");
+    let address = listener.local_addr().expect("the socket is bound");
+    let peer = tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("the listener works");
+        stream.read_u8().await.expect("the client writes");
+    });
+    let client = Client::new(address).timeout(TIMEOUT);
+    let value = vec![0; 16 * 1024 * 1024];
+    let write = client.put(KEY, &value, Expect::Absent, None).await;
+    assert_eq!(class(&write), Class::Ambiguous);
+    peer.await.expect("the peer ends");
+}
+
+// Guards against more connections than the limit, and against a connection that a cancelled
+// call keeps.
+#[tokio::test]
+async fn connections_are_limited() {
+    let (server, client) = server().await;
+    let client = client.connections(1);
+    let freeze = Fault {
+        freeze: true,
+        ..Fault::default()
+    };
+    server.set_fault(Endpoint::Table, freeze);
+    let first = client.put(KEY, b"x", Expect::Absent, None);
+    let second = async {
+        server.wait_for(|count| count.table.received == 1).await;
+        let put = client.put(KEY, b"x", Expect::Absent, None);
+        // Shorter than the timeout of the first call, which therefore keeps its connection.
+        let waiting = time::timeout(TIMEOUT / 2, put);
+        time::pause();
+        assert!(waiting.await.is_err());
+        time::resume();
+        assert_eq!(server.counters().table.received, 1);
+    };
+    tokio::select! {
+        biased;
+        write = first => panic!("a frozen call ended: {write:?}"),
+        () = second => {}
+    }
+    // The dropped call has returned its permit.
+    server.set_fault(Endpoint::Table, Fault::default());
+    let write = client.put(KEY, b"x", Expect::Absent, None).await;
+    assert_eq!(class(&write), Class::Done);
+
+    // A call that waits in vain has sent nothing.
+    time::pause();
+    let client = client.connections(0);
+    let write = client.put(KEY, b"x", Expect::Absent, None).await;
+    assert_eq!(class(&write), Class::Unavailable);
+}
+
 // Guards against a read that reports anything but `Unavailable` at its timeout.
 #[tokio::test]
 async fn timeout_of_read_is_unavailable() {
