feat(core): track how current the knowledge of withdrawn keys is

A host may honour keys only while it knows of all withdrawals, or while nobody can have accepted one.

No performance was measured.

--- a/crates/core/src/process/mod.rs
+++ b/crates/core/src/process/mod.rs
@@ -2,4 +2,5 @@
 
 pub mod adoption;
 pub mod bucket;
+pub mod freshness;
 pub mod lease;
