feat(core): judge which hosts live, and tell a cut from failures

Steering and probing need one view of the fleet that neither flaps on slow hosts nor declares half the fleet dead when a link between regions fails.

Membership combines the platform's list with heartbeats. Suspicion starts at the first unanswered probe, with time-outs that follow the observed silences within bounds, and a return takes two or three answers.

--- /dev/null
+++ b/crates/core/src/process/membership/member.rs
@@ -0,0 +1,230 @@
+//! One other host.
+
+use super::answering;
+use azurenotch_wire::{
+    event::{Kind, Reachability},
+    id::{DataCentre, Host, Incarnation},
+    peer::{Heartbeat, State},
+    time::Instant,
+    version::Version,
+};
+use std::{net::SocketAddr, time::Duration};
+
+/// Shortest and longest silence after which a host is suspect.
+const SUSPECT_MIN: Duration = Duration::from_secs(3);
+const SUSPECT_MAX: Duration = Duration::from_secs(8);
+/// Shortest and longest silence after which a host is dead.
+const DEAD_MIN: Duration = Duration::from_secs(10);
+pub(super) const DEAD_MAX: Duration = Duration::from_secs(20);
+/// Unanswered probes without which a host is neither suspect nor dead.
+const SUSPECT_PROBES: u32 = 2;
+const DEAD_PROBES: u32 = 3;
+/// Answers after which a suspect or dead host of the same incarnation is live again.
+const RETURN_SUSPECT: u32 = 2;
+const RETURN_DEAD: u32 = 3;
+/// Shortest time between two answers that count towards the return.
+const RETURN_GAP: Duration = Duration::from_millis(500);
+
+/// Entry of the platform's list of hosts.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Listed {
+    /// Name of the host.
+    pub host: Host,
+    /// Its data centre.
+    pub data_centre: DataCentre,
+    /// Address where it takes callers.
+    pub address: SocketAddr,
+    /// Whether the platform is removing it.
+    pub leaving: bool,
+}
+
+/// Another host as this host knows it.
+#[derive(Debug, Clone)]
+pub struct Member {
+    /// Name of the host.
+    pub host: Host,
+    /// Latest incarnation that was heard; zero before the first.
+    pub incarnation: Incarnation,
+    /// Its data centre.
+    pub data_centre: DataCentre,
+    /// Address where it takes callers.
+    pub address: SocketAddr,
+    /// Whether it answers; suspect until it is first heard.
+    pub state: Reachability,
+    /// State in which it last saw itself.
+    pub own_state: State,
+    /// Configuration version that it last reported.
+    pub version: Version,
+    /// Requests in flight that it last reported.
+    pub in_flight: u32,
+    /// Share of its capacity in use that it last reported.
+    pub load: f32,
+    /// Whether the platform lists it.
+    pub is_listed: bool,
+    /// When it was last heard.
+    pub heard: Option<Instant>,
+    pub(super) probed: Instant,
+    is_removing: bool,
+    /// When the first probe was sent that has not been answered.
+    silent_since: Option<Instant>,
+    unanswered: u32,
+    /// Answers towards the return from silence.
+    returning: u32,
+    returned: Instant,
+    /// Mean and mean deviation of the silences that ended with an answer.
+    mean: Duration,
+    deviation: Duration,
+}
+
+impl Member {
+    pub(super) fn listed(entry: &Listed) -> Self {
+        Self::new(&entry.host, &entry.data_centre, entry.address)
+    }
+
+    pub(super) fn heard(heartbeat: &Heartbeat) -> Self {
+        Self::new(&heartbeat.host, &heartbeat.data_centre, heartbeat.address)
+    }
+
+    fn new(host: &Host, data_centre: &DataCentre, address: SocketAddr) -> Self {
+        Self {
+            host: host.clone(),
+            incarnation: Incarnation(0),
+            data_centre: data_centre.clone(),
+            address,
+            state: Reachability::Suspect,
+            own_state: State::Starting,
+            version: Version::default(),
+            in_flight: 0,
+            load: 0.0,
+            is_listed: false,
+            heard: None,
+            probed: Instant::ZERO,
+            is_removing: false,
+            silent_since: None,
+            unanswered: 0,
+            returning: 0,
+            returned: Instant::ZERO,
+            mean: Duration::ZERO,
+            deviation: Duration::ZERO,
+        }
+    }
+
+    /// Returns whether nothing has to be awaited from this host before its next probe.
+    pub(super) fn is_settled(&self) -> bool {
+        let awaited = match self.state {
+            Reachability::Live | Reachability::Leaving => false,
+            Reachability::Suspect => true,
+            Reachability::Dead => self.returning > 0,
+        };
+        self.silent_since.is_none() && !awaited
+    }
+
+    /// Returns whether the host is dead and not on its way back.
+    pub(super) fn is_gone(&self) -> bool {
+        self.state == Reachability::Dead && self.returning == 0
+    }
+
+    pub(super) fn silence(&self, now: Instant) -> Duration {
+        self.silent_since
+            .map_or(Duration::ZERO, |since| now.since(since))
+    }
+
+    pub(super) fn restart_silence(&mut self, now: Instant) {
+        self.silent_since = self.silent_since.map(|_| now);
+        self.unanswered = 0;
+    }
+
+    pub(super) fn set_removing(&mut self, removing: bool) -> Option<Kind> {
+        self.is_removing = removing;
+        match self.state {
+            Reachability::Live | Reachability::Leaving => {
+                self.change(answering(self.own_state, removing))
+            }
+            Reachability::Suspect | Reachability::Dead => None,
+        }
+    }
+
+    pub(super) fn on_probe(&mut self, now: Instant) {
+        self.probed = now;
+        self.silent_since = self.silent_since.or(Some(now));
+        self.unanswered = self.unanswered.saturating_add(1);
+    }
+
+    pub(super) fn on_heartbeat(&mut self, now: Instant, heartbeat: &Heartbeat) -> Option<Kind> {
+        let is_new = heartbeat.incarnation > self.incarnation || self.heard.is_none();
+        if is_new {
+            self.mean = Duration::ZERO;
+            self.deviation = Duration::ZERO;
+        } else if let Some(since) = self.silent_since {
+            self.measure(now.since(since));
+        }
+        // A host that announced its stop does not come back in the same incarnation.
+        let leaves = !is_new && self.own_state == State::Leaving;
+        self.own_state = if leaves {
+            State::Leaving
+        } else {
+            heartbeat.state
+        };
+        self.incarnation = heartbeat.incarnation;
+        self.data_centre = heartbeat.data_centre.clone();
+        self.address = heartbeat.address;
+        self.version = heartbeat.version;
+        self.in_flight = heartbeat.in_flight;
+        self.load = heartbeat.load;
+        self.heard = Some(now);
+        self.silent_since = None;
+        self.unanswered = 0;
+        if self.returning == 0 || now.since(self.returned) >= RETURN_GAP {
+            self.returning += 1;
+            self.returned = now;
+        }
+        let needed = match self.state {
+            _ if is_new => 0,
+            Reachability::Suspect => RETURN_SUSPECT,
+            Reachability::Dead => RETURN_DEAD,
+            Reachability::Live | Reachability::Leaving => 0,
+        };
+        if self.returning < needed {
+            return None;
+        }
+        self.change(answering(self.own_state, self.is_removing))
+    }
+
+    /// Judges the silence at `now`; a host that may be cut off is not declared dead.
+    pub(super) fn judge(&mut self, now: Instant, may_be_cut_off: bool) -> Option<Kind> {
+        let silence = self.silence(now);
+        let usual = self.mean + self.deviation * 4;
+        let suspect_after = usual.clamp(SUSPECT_MIN, SUSPECT_MAX);
+        let dead_after = (usual * 3).clamp(DEAD_MIN, DEAD_MAX);
+        if silence >= suspect_after && self.unanswered >= SUSPECT_PROBES {
+            self.returning = 0;
+            match self.state {
+                Reachability::Live => return self.change(Reachability::Suspect),
+                Reachability::Leaving => return self.change(Reachability::Dead),
+                Reachability::Suspect | Reachability::Dead => {}
+            }
+        }
+        let is_dead = silence >= dead_after && self.unanswered >= DEAD_PROBES && !may_be_cut_off;
+        (is_dead && self.state == Reachability::Suspect)
+            .then(|| self.change(Reachability::Dead))
+            .flatten()
+    }
+
+    /// Smooths the observed silences like a retransmission timer does round trips.
+    fn measure(&mut self, silence: Duration) {
+        let silence = silence.min(SUSPECT_MAX);
+        self.deviation = (self.deviation * 3 + silence.abs_diff(self.mean)) / 4;
+        self.mean = (self.mean * 7 + silence) / 8;
+    }
+
+    fn change(&mut self, state: Reachability) -> Option<Kind> {
+        if self.state == state {
+            return None;
+        }
+        self.state = state;
+        Some(Kind::Peer {
+            peer: self.host.clone(),
+            state,
+        })
+    }
+}
--- a/crates/core/src/process/mod.rs
+++ b/crates/core/src/process/mod.rs
@@ -4,3 +4,4 @@
 pub mod bucket;
 pub mod freshness;
 pub mod lease;
+pub mod membership;
