--- a/crates/core/src/process/mod.rs
+++ b/crates/core/src/process/mod.rs
@@ -5,3 +5,4 @@
 pub mod freshness;
 pub mod lease;
 pub mod membership;
+pub mod timeline;
