feat(daemon): forward requests of callers to backend servers

Hosts had no data path. The gateway admits a request by route, key and contract, forwards it on a pooled connection with streamed bodies, verifies the echoed id and answers everything else with a typed refusal. Core decides retries (token budget) and ambiguous paths.

--- a/crates/core/src/request/mod.rs
+++ b/crates/core/src/request/mod.rs
@@ -3,3 +3,5 @@
 pub mod access;
 pub mod deadline;
 pub mod header;
+pub mod path;
+pub mod retry;
--- /dev/null
+++ b/crates/core/src/request/retry.rs
@@ -0,0 +1,101 @@
+//! Whether a failed attempt may be retried.
+
+use std::time::Duration;
+
+/// Attempts of one request, the first one included.
+pub const MAX_ATTEMPTS: u32 = 3;
+/// Share of requests that may be retried after bytes were sent.
+const RETRY_SHARE: f64 = 0.1;
+/// Largest number of retries that quiet time or many successes can save up.
+const MAX_SAVED_RETRIES: f64 = 10.0;
+
+/// Retry budget of one host: each request adds a fraction of a token, each retry takes one.
+#[derive(Debug, Clone)]
+pub struct Retry {
+    tokens: f64,
+}
+
+/// A failed attempt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Attempt {
+    /// Number of attempts made so far, this one included.
+    pub number: u32,
+    /// Whether the route is idempotent.
+    pub idempotent: bool,
+    /// Whether a byte of the request may have been written.
+    pub sent: bool,
+    /// Whether a part of the caller's body was consumed, so that it cannot be sent again.
+    pub consumed: bool,
+    /// Time left until the deadline.
+    pub left: Option<Duration>,
+}
+
+impl Default for Retry {
+    fn default() -> Self {
+        Self {
+            tokens: MAX_SAVED_RETRIES,
+        }
+    }
+}
+
+impl Retry {
+    /// Counts a new request, which adds its fraction of a retry to the budget.
+    pub fn begin(&mut self) {
+        self.tokens = (self.tokens + RETRY_SHARE).min(MAX_SAVED_RETRIES);
+    }
+
+    /// Returns whether the attempt may be repeated on another backend server.
+    ///
+    /// An attempt of which nothing was sent costs a backend server nothing, so it takes no token;
+    /// it is bounded by [`MAX_ATTEMPTS`] alone.
+    pub fn permits(&mut self, attempt: &Attempt) -> bool {
+        if attempt.number >= MAX_ATTEMPTS || attempt.consumed || attempt.left.is_none() {
+            return false;
+        }
+        if !attempt.sent {
+            return true;
+        }
+        let permitted = attempt.idempotent && self.tokens >= 1.0;
+        if permitted {
+            self.tokens -= 1.0;
+        }
+        permitted
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use test_case::test_case;
+
+    const FAILED: Attempt = Attempt {
+        number: 1,
+        idempotent: true,
+        sent: true,
+        consumed: false,
+        left: Some(Duration::from_secs(1)),
+    };
+
+    #[test_case(FAILED => true; "idempotent")]
+    #[test_case(Attempt { idempotent: false, ..FAILED } => false; "not idempotent and sent")]
+    #[test_case(Attempt { idempotent: false, sent: false, ..FAILED } => true; "not idempotent and nothing sent")]
+    #[test_case(Attempt { consumed: true, ..FAILED } => false; "body consumed")]
+    #[test_case(Attempt { left: None, ..FAILED } => false; "deadline passed")]
+    #[test_case(Attempt { number: MAX_ATTEMPTS, sent: false, ..FAILED } => false; "attempts used up")]
+    fn permits_only_harmless_retries(attempt: Attempt) -> bool {
+        Retry::default().permits(&attempt)
+    }
+
+    #[test]
+    fn a_failing_service_gets_a_tenth_more_requests() {
+        let mut retry = Retry::default();
+        let retries = (0..1_000)
+            .filter(|_| {
+                retry.begin();
+                retry.permits(&FAILED)
+            })
+            .count();
+        // The initial budget adds its saved retries to the tenth.
+        assert!((100..=111).contains(&retries), "{retries} retries");
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/connection/listener.rs
@@ -0,0 +1,256 @@
+//! The caller port.
+
+use crate::{
+    connection::stream::{Exchange, Stream},
+    request::{gateway::Gateway, metrics::Unit},
+};
+use azurenotch_wire::refusal::{Reason, Refusal};
+use hyper::{server::conn::http1::Builder, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use slog::{Logger, debug, warn};
+use snafu::{ResultExt, Snafu};
+use std::{
+    convert::Infallible,
+    io,
+    net::{IpAddr, SocketAddr},
+    pin::pin,
+    sync::Arc,
+    time::Duration,
+};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    select,
+    sync::{OwnedSemaphorePermit, Semaphore},
+    time::{MissedTickBehavior, interval, sleep, timeout},
+};
+use tokio_util::{sync::CancellationToken, task::TaskTracker};
+
+/// Longest header of a request in bytes.
+pub const HEADER_LIMIT: usize = 16 * 1024;
+/// Longest time for the header of a request, idle time before it included.
+pub const HEADER_TIMEOUT: Duration = Duration::from_secs(15);
+/// Largest number of caller connections.
+pub const MAX_CONNECTIONS: usize = 8192;
+/// Time for which idle callers may still send a request after the stop of the listener.
+pub const LINGER: Duration = Duration::from_secs(1);
+/// Time between two searches for idle backend connections that are too old.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
+/// Pause after the system could not accept a connection.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Longest time for the last bytes of a connection in both directions.
+const FAREWELL: Duration = Duration::from_secs(1);
+/// Bytes that are read and dropped before a connection is closed.
+const FAREWELL_BYTES: usize = 1024 * 1024;
+/// Bytes of an answer that are buffered for a slow caller.
+const BUFFER: usize = 64 * 1024;
+
+/// Result of a listener operation.
+pub type Result<T, E = Error> = std::result::Result<T, E>;
+
+/// Why the caller port cannot be served.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// The address cannot be used.
+    #[snafu(display("cannot listen on {address}"))]
+    Bind {
+        /// Wanted address.
+        address: SocketAddr,
+        /// Error of the socket.
+        source: io::Error,
+    },
+}
+
+/// The caller port.
+#[derive(Debug)]
+pub struct Listener {
+    socket: TcpListener,
+    address: SocketAddr,
+    gateway: Arc<Gateway>,
+    places: Arc<Semaphore>,
+    log: Logger,
+}
+
+impl Listener {
+    /// Opens the caller port.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address cannot be used.
+    pub async fn bind(address: SocketAddr, gateway: Arc<Gateway>, log: Logger) -> Result<Self> {
+        let socket = TcpListener::bind(address)
+            .await
+            .context(BindSnafu { address })?;
+        let address = socket.local_addr().context(BindSnafu { address })?;
+        Ok(Self {
+            socket,
+            address,
+            gateway,
+            places: Arc::new(Semaphore::new(MAX_CONNECTIONS)),
+            log,
+        })
+    }
+
+    /// Sets the largest number of caller connections.
+    #[must_use]
+    pub fn with_connections(mut self, limit: usize) -> Self {
+        self.places = Arc::new(Semaphore::new(limit));
+        self
+    }
+
+    /// Returns the address of the port.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Serves callers until `stop` is cancelled and all running requests have ended.
+    pub async fn run(self, stop: CancellationToken) {
+        let tasks = TaskTracker::new();
+        let mut sweep = interval(SWEEP_INTERVAL);
+        sweep.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            select! {
+                biased;
+                () = stop.cancelled() => break,
+                _ = sweep.tick() => self.gateway.sweep(),
+                accepted = self.socket.accept() => match accepted {
+                    Ok((stream, peer)) => self.take(stream, peer, &stop, &tasks),
+                    Err(error) => {
+                        warn!(self.log, "listener: accept failed"; "error" => %error);
+                        sleep(ACCEPT_PAUSE).await;
+                    }
+                },
+            }
+        }
+        self.gateway.set_stopping();
+        // Connections that the system has already accepted would be reset with the socket.
+        while let Some((stream, peer)) = self.accept_waiting().await {
+            self.take(stream, peer, &stop, &tasks);
+        }
+        drop(self.socket);
+        tasks.close();
+        tasks.wait().await;
+    }
+
+    /// Returns a connection that is waiting to be accepted, without waiting for one.
+    async fn accept_waiting(&self) -> Option<(TcpStream, SocketAddr)> {
+        select! {
+            biased;
+            accepted = self.socket.accept() => accepted.ok(),
+            () = std::future::ready(()) => None,
+        }
+    }
+
+    fn take(
+        &self,
+        stream: TcpStream,
+        peer: SocketAddr,
+        stop: &CancellationToken,
+        tasks: &TaskTracker,
+    ) {
+        let gateway = Arc::clone(&self.gateway);
+        if let Ok(place) = Arc::clone(&self.places).try_acquire_owned() {
+            let log = self.log.clone();
+            tasks.spawn(serve(gateway, stream, peer, stop.clone(), place, log));
+        } else {
+            let refusal = Refusal::not_run(Reason::Overload);
+            turn_away(&stream, &gateway.refuse_raw(&refusal, peer.ip()));
+        }
+    }
+}
+
+/// Serves one connection until it closes.
+async fn serve(
+    gateway: Arc<Gateway>,
+    stream: TcpStream,
+    peer: SocketAddr,
+    stop: CancellationToken,
+    _place: OwnedSemaphorePermit,
+    log: Logger,
+) {
+    let _open = Unit::new(&gateway.metrics.connections);
+    if let Err(error) = stream.set_nodelay(true) {
+        debug!(log, "listener: connection lost"; "peer" => %peer, "error" => %error);
+        return;
+    }
+    let exchange = Exchange::default();
+    let stream = Stream::new(stream, exchange.clone(), replace(&gateway, peer.ip()));
+    let service = service_fn(|request| {
+        exchange.begin();
+        let gateway = Arc::clone(&gateway);
+        async move { Ok::<_, Infallible>(gateway.handle(request, peer).await) }
+    });
+    let mut connection = Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEADER_TIMEOUT)
+        .max_header_size(HEADER_LIMIT)
+        .max_buf_size(BUFFER)
+        .serve_connection(TokioIo::new(stream), service);
+    let mut linger = pin!(async {
+        stop.cancelled().await;
+        sleep(LINGER).await;
+    });
+    let mut lingered = false;
+    let result = loop {
+        select! {
+            result = &mut connection => break result,
+            () = &mut linger, if !lingered => {
+                lingered = true;
+                std::pin::Pin::new(&mut connection).graceful_shutdown();
+            }
+        }
+    };
+    let mut farewell = Vec::new();
+    if let Err(error) = result {
+        debug!(log, "listener: connection ended"; "peer" => %peer, "error" => %error);
+        if error.is_timeout() && exchange.is_begun() {
+            farewell = gateway.refuse_raw(&Refusal::not_run(Reason::SlowCaller), peer.ip());
+        } else if !error.is_parse() {
+            // A caller must not take a broken answer for a complete one, so nothing follows it.
+            return;
+        }
+    }
+    let stream = connection.into_parts().io.into_inner().into_inner();
+    part(stream, &farewell).await;
+}
+
+/// Returns the refusals that replace the HTTP library's answers to malformed requests.
+fn replace(gateway: &Arc<Gateway>, client: IpAddr) -> Box<dyn Fn(u16) -> Vec<u8> + Send> {
+    let gateway = Arc::clone(gateway);
+    Box::new(move |status| {
+        let reason = match status {
+            // The library distinguishes a target that is too long, which is part of the header.
+            414 | 431 => Reason::HeaderTooLarge,
+            _ => Reason::Malformed,
+        };
+        gateway.refuse_raw(&Refusal::not_run(reason), client)
+    })
+}
+
+/// Writes a last refusal to a connection and closes it.
+///
+/// What the caller still sends is read and dropped for a while, because the system resets a
+/// connection that is closed with unread data, and the caller would lose its answer.
+async fn part(mut stream: TcpStream, refusal: &[u8]) {
+    let farewell = timeout(FAREWELL, async {
+        stream.write_all(refusal).await?;
+        stream.shutdown().await?;
+        let mut rest = vec![0; 8 * 1024];
+        let mut read = 0;
+        while read < FAREWELL_BYTES {
+            match stream.read(&mut rest).await? {
+                0 => break,
+                count => read += count,
+            }
+        }
+        io::Result::Ok(())
+    });
+    // The caller may be gone, and then nobody is left to tell.
+    drop(farewell.await);
+}
+
+/// Writes a refusal to a new connection without waiting for its caller.
+fn turn_away(stream: &TcpStream, refusal: &[u8]) {
+    // A new connection has room for a refusal; a caller that is gone needs none.
+    drop(stream.try_write(refusal));
+}
--- /dev/null
+++ b/crates/daemon/src/request/body.rs
@@ -0,0 +1,185 @@
+//! Body of an answer on its way from a backend server to the caller.
+
+use crate::{connection::pool::Lease, request::upload::Source};
+use bytes::Bytes;
+use http_body::{Body as HttpBody, Frame, SizeHint};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use snafu::Snafu;
+use std::{
+    any::Any,
+    fmt::{self, Debug, Formatter},
+    pin::Pin,
+    task::{Context, Poll},
+    time::Duration,
+};
+use tokio::time::{Instant, Sleep, sleep};
+use tokio_util::sync::{CancellationToken, WaitForCancellationFutureOwned};
+
+/// Longest silence of a backend server in the middle of an answer's body.
+pub const SERVER_STALL: Duration = Duration::from_secs(30);
+
+/// Why an answer's body broke.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// The backend server's connection broke.
+    #[snafu(display("backend server broke off its answer"))]
+    Broken {
+        /// Error of the connection.
+        source: hyper::Error,
+    },
+    /// The backend server sent nothing for [`SERVER_STALL`].
+    #[snafu(display("backend server stopped sending its answer"))]
+    Stalled,
+    /// The key of the request was withdrawn.
+    #[snafu(display("key was withdrawn during the answer"))]
+    Withdrawn,
+}
+
+/// Body of an answer to a caller.
+#[derive(Debug)]
+pub enum Body {
+    /// A body of this host.
+    Whole(Full<Bytes>),
+    /// A body that a backend server sends.
+    Stream(Box<Download>),
+}
+
+/// Body that a backend server sends.
+///
+/// The connection returns to its pool after the last byte. If the body breaks or the caller goes
+/// away before, the connection is closed, which cancels the request at the backend server.
+pub struct Download {
+    inner: Incoming,
+    lease: Option<Lease>,
+    upload: Source,
+    withdrawn: Option<Pin<Box<WaitForCancellationFutureOwned>>>,
+    stall: Option<Pin<Box<Sleep>>>,
+    armed: bool,
+    _held: Box<dyn Any + Send>,
+}
+
+impl Body {
+    /// Creates a body from bytes of this host.
+    pub fn whole(bytes: impl Into<Bytes>) -> Self {
+        Self::Whole(Full::new(bytes.into()))
+    }
+}
+
+impl Download {
+    /// Creates a body that keeps `held` until it ends.
+    pub fn new<T: Any + Send>(
+        inner: Incoming,
+        lease: Lease,
+        upload: Source,
+        withdrawn: Option<CancellationToken>,
+        held: T,
+    ) -> Self {
+        let mut download = Self {
+            inner,
+            lease: Some(lease),
+            upload,
+            withdrawn: withdrawn.map(|token| Box::pin(token.cancelled_owned())),
+            stall: None,
+            armed: false,
+            _held: Box::new(held),
+        };
+        download.finish_if_ended();
+        download
+    }
+
+    fn finish_if_ended(&mut self) {
+        if self.inner.is_end_stream() {
+            self.finish();
+        }
+    }
+
+    /// Returns the connection to its pool, unless a part of the caller's body is still on its way.
+    fn finish(&mut self) {
+        if let Some(lease) = self.lease.take()
+            && self.upload.is_done()
+        {
+            lease.release();
+        }
+    }
+
+    fn fail(&mut self, error: Error) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
+        self.lease = None;
+        Poll::Ready(Some(Err(error)))
+    }
+
+    fn poll_stall(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        let stall = self
+            .stall
+            .get_or_insert_with(|| Box::pin(sleep(SERVER_STALL)));
+        if !self.armed {
+            self.armed = true;
+            stall.as_mut().reset(Instant::now() + SERVER_STALL);
+        }
+        stall.as_mut().poll(cx)
+    }
+
+    fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
+        if let Some(withdrawn) = &mut self.withdrawn
+            && withdrawn.as_mut().poll(cx).is_ready()
+        {
+            return self.fail(Error::Withdrawn);
+        }
+        match Pin::new(&mut self.inner).poll_frame(cx) {
+            Poll::Pending => match self.poll_stall(cx) {
+                Poll::Pending => Poll::Pending,
+                Poll::Ready(()) => self.fail(Error::Stalled),
+            },
+            Poll::Ready(None) => {
+                self.finish();
+                Poll::Ready(None)
+            }
+            Poll::Ready(Some(Err(source))) => self.fail(Error::Broken { source }),
+            Poll::Ready(Some(Ok(frame))) => {
+                self.armed = false;
+                self.finish_if_ended();
+                Poll::Ready(Some(Ok(frame)))
+            }
+        }
+    }
+}
+
+impl Debug for Download {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Download")
+            .field("inner", &self.inner)
+            .field("lease", &self.lease)
+            .finish_non_exhaustive()
+    }
+}
+
+impl HttpBody for Body {
+    type Data = Bytes;
+    type Error = Error;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
+        match self.get_mut() {
+            Self::Whole(body) => Pin::new(body)
+                .poll_frame(cx)
+                .map_err(|never| match never {}),
+            Self::Stream(body) => body.poll(cx),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Self::Whole(body) => body.is_end_stream(),
+            Self::Stream(body) => body.inner.is_end_stream(),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(body) => body.size_hint(),
+            Self::Stream(body) => body.inner.size_hint(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/request/gateway.rs
@@ -0,0 +1,372 @@
+//! Takes requests of callers and answers each of them.
+
+use crate::{
+    request::{
+        admission::{Admission, Local, Permit},
+        body::Body,
+        clock::Clock,
+        directory::{Directory, Fixed},
+        forward::{self, Job},
+        freshness::{Always, Freshness},
+        metrics::{Metrics, Unit},
+        refuse,
+        shift::{Settled, Shift},
+        transfer::{Transfer, Transfers},
+        upload::Source,
+    },
+    version::current::{Current, Group},
+};
+use arc_swap::ArcSwapOption;
+use azurenotch_config::snapshot::Snapshot;
+use azurenotch_core::request::{
+    access::{Grant, Holder},
+    deadline::Deadline,
+    path,
+    retry::Retry,
+};
+use azurenotch_wire::{
+    id::{DataCentre, Host, Incarnation, Release},
+    refusal::{self, Reason, Refusal},
+};
+use http::{HeaderValue, Method, Request, Response, header, request::Parts};
+use hyper::body::{Body as _, Incoming};
+use parking_lot::Mutex;
+use prometheus::Registry;
+use slog::{Discard, Logger, info, o};
+use std::{
+    net::{IpAddr, SocketAddr},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+/// Path of look-ups.
+const LOOK_UP: &str = "/.azurenotch/lookup";
+/// Time for which callers keep the answer of a host that was not given a directory.
+const LOOK_UP_LIFETIME: Duration = Duration::from_secs(10);
+
+/// Result of a step on a request's path.
+pub(crate) type Result<T, E = Refusal> = std::result::Result<T, E>;
+
+/// Takes requests of callers and answers each of them.
+#[derive(Debug)]
+pub struct Gateway {
+    /// Prefix of request ids, unique to this run of the host.
+    prefix: String,
+    here: DataCentre,
+    counter: AtomicU64,
+    current: ArcSwapOption<Current>,
+    adoption: Mutex<()>,
+    stopping: AtomicBool,
+    transfers: Transfers,
+    log: Logger,
+    pub(crate) clock: Arc<dyn Clock>,
+    pub(crate) admission: Arc<dyn Admission>,
+    pub(crate) directory: Arc<dyn Directory>,
+    pub(crate) freshness: Arc<dyn Freshness>,
+    pub(crate) shift: Arc<dyn Shift>,
+    pub(crate) metrics: Metrics,
+    pub(crate) retry: Mutex<Retry>,
+}
+
+/// What a request holds until it ends.
+#[derive(Debug)]
+pub(crate) struct Held {
+    pub(crate) transfer: Option<Transfer>,
+    _permit: Option<Permit>,
+    _in_flight: Unit,
+}
+
+/// What is known of a request when it is refused.
+#[derive(Debug, Default)]
+struct Label {
+    route: Option<azurenotch_wire::id::Route>,
+    holder: Option<Holder>,
+}
+
+impl Gateway {
+    /// Creates a gateway without a configuration, which refuses everything but look-ups.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the registry already has a metric of the same name.
+    pub fn new(
+        host: &Host,
+        incarnation: Incarnation,
+        here: DataCentre,
+        clock: Arc<dyn Clock>,
+        registry: &Registry,
+    ) -> std::result::Result<Self, prometheus::Error> {
+        Ok(Self {
+            prefix: format!("{host}-{:x}", incarnation.0),
+            here,
+            counter: AtomicU64::new(0),
+            current: ArcSwapOption::empty(),
+            adoption: Mutex::default(),
+            stopping: AtomicBool::new(false),
+            transfers: Transfers::default(),
+            log: Logger::root(Discard, o!()),
+            clock,
+            admission: Arc::new(Local::new()),
+            directory: Arc::new(Fixed::new(LOOK_UP_LIFETIME)),
+            freshness: Arc::new(Always),
+            shift: Arc::new(Settled),
+            metrics: Metrics::new(registry)?,
+            retry: Mutex::default(),
+        })
+    }
+
+    /// Sets the admission of workspaces.
+    #[must_use]
+    pub fn with_admission(mut self, admission: Arc<dyn Admission>) -> Self {
+        self.admission = admission;
+        self
+    }
+
+    /// Sets the directory of hosts.
+    #[must_use]
+    pub fn with_directory(mut self, directory: Arc<dyn Directory>) -> Self {
+        self.directory = directory;
+        self
+    }
+
+    /// Sets the decision whether keys may be honoured.
+    #[must_use]
+    pub fn with_freshness(mut self, freshness: Arc<dyn Freshness>) -> Self {
+        self.freshness = freshness;
+        self
+    }
+
+    /// Sets the choice of the version of a service.
+    #[must_use]
+    pub fn with_shift(mut self, shift: Arc<dyn Shift>) -> Self {
+        self.shift = shift;
+        self
+    }
+
+    /// Sets the log.
+    #[must_use]
+    pub fn with_log(mut self, log: Logger) -> Self {
+        self.log = log;
+        self
+    }
+
+    /// Puts a snapshot in force and ends running requests whose key it does not accept.
+    ///
+    /// Returns whether the snapshot was adopted; one that is not newer is ignored.
+    pub fn adopt(&self, snapshot: Arc<Snapshot>) -> bool {
+        let _one_at_a_time = self.adoption.lock();
+        let previous = self.current.load_full();
+        let version = snapshot.version;
+        if previous
+            .as_ref()
+            .is_some_and(|it| it.snapshot().version >= version)
+        {
+            return false;
+        }
+        self.admission.adopt(self.clock.now(), &snapshot);
+        let current = Arc::new(Current::new(snapshot, &self.here, previous.as_deref()));
+        self.current.store(Some(Arc::clone(&current)));
+        let ended = self
+            .transfers
+            .withdraw(|key| current.access().is_valid(key));
+        info!(self.log, "gateway: adopted"; "version" => %version, "ended" => ended);
+        true
+    }
+
+    /// Returns the configuration in force.
+    pub fn current(&self) -> Option<Arc<Current>> {
+        self.current.load_full()
+    }
+
+    /// Returns the admission of workspaces.
+    pub fn admission(&self) -> &Arc<dyn Admission> {
+        &self.admission
+    }
+
+    /// Makes all answers from now on ask their callers to close the connection.
+    pub fn set_stopping(&self) {
+        self.stopping.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether the host is stopping.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+
+    /// Closes backend connections that have been idle for too long.
+    pub fn sweep(&self) {
+        if let Some(current) = self.current() {
+            current.sweep(self.clock.now());
+        }
+    }
+
+    /// Answers one request of the caller at `client`.
+    pub async fn handle(&self, request: Request<Incoming>, client: SocketAddr) -> Response<Body> {
+        let mut response = if request.method() == Method::GET && request.uri().path() == LOOK_UP {
+            self.look_up(request.uri().query(), client.ip())
+        } else {
+            let mut label = Label::default();
+            match self.answer(request, &mut label).await {
+                Ok(response) => response,
+                Err(refusal) => self.refuse(refusal, label, client.ip()),
+            }
+        };
+        if self.is_stopping() {
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(header::CONNECTION, close);
+        }
+        response
+    }
+
+    /// Returns a refusal as it goes over a connection that is closed after it.
+    pub fn refuse_raw(&self, refusal: &Refusal, client: IpAddr) -> Vec<u8> {
+        self.metrics.refused("", refusal);
+        refuse::raw(refusal, self.directory.alternatives(client))
+    }
+
+    /// Returns a new request id.
+    pub(crate) fn request_id(&self) -> String {
+        let number = self.counter.fetch_add(1, Ordering::Relaxed);
+        format!("{}-{number:x}", self.prefix)
+    }
+
+    fn look_up(&self, query: Option<&str>, peer: IpAddr) -> Response<Body> {
+        let named = query
+            .into_iter()
+            .flat_map(|query| query.split('&'))
+            .find_map(|pair| pair.strip_prefix("client="));
+        // The colons of an IPv6 address may be percent-encoded in a query.
+        let client = named.map_or(Ok(peer), |text| text.replace("%3A", ":").parse());
+        match client {
+            Ok(client) => refuse::look_up(&self.directory.look_up(client)),
+            Err(_) => self.refuse(Refusal::not_run(Reason::Malformed), Label::default(), peer),
+        }
+    }
+
+    fn refuse(&self, mut refusal: Refusal, label: Label, client: IpAddr) -> Response<Body> {
+        if refusal.workspace.is_none() {
+            refusal.workspace = label.holder.map(|holder| holder.workspace);
+        }
+        let route = label.route.as_ref().map_or("", |name| name.as_str());
+        self.metrics.refused(route, &refusal);
+        refuse::answer(&refusal, self.directory.alternatives(client))
+    }
+
+    async fn answer(
+        &self,
+        request: Request<Incoming>,
+        label: &mut Label,
+    ) -> Result<Response<Body>> {
+        let arrived = self.clock.now();
+        let current = self
+            .current()
+            .ok_or(Refusal::not_run(Reason::NoConfiguration))?;
+        let (head, body) = request.into_parts();
+        let grant = self.grant(&current, &head)?;
+        label.route = Some(grant.name.clone());
+        label.holder.clone_from(&grant.holder);
+        let deadline = Deadline::new(arrived, grant.route.timeout, timeout(&head)?);
+        // A body of unknown length is measured while it passes.
+        if body.size_hint().lower() > grant.route.body_limit {
+            return Err(Refusal::not_run(Reason::BodyTooLarge));
+        }
+        let guards = self.admit(&current, &grant)?;
+        let (release, group) = self.group(&current, &grant)?;
+        self.retry.lock().begin();
+        let upload = Source::new(body, grant.route.body_limit);
+        let job = Job {
+            gateway: self,
+            grant: &grant,
+            release,
+            group,
+            head,
+            upload,
+            deadline,
+            arrived,
+            held: guards,
+        };
+        forward::run(job).await
+    }
+
+    fn grant(&self, current: &Current, head: &Parts) -> Result<Grant> {
+        let path = head.uri.path();
+        if path::is_ambiguous(path) {
+            return Err(Refusal::not_run(Reason::Malformed));
+        }
+        let authorization = head.headers.get(header::AUTHORIZATION);
+        let grant = current.access().admit(
+            head.method.as_str(),
+            path,
+            authorization.map(HeaderValue::as_bytes),
+        )?;
+        if let Some(holder) = &grant.holder {
+            let contracts = &current.snapshot().document.workspaces;
+            if let Some(contract) = contracts.get(&holder.workspace) {
+                self.freshness
+                    .check(self.clock.now(), contract)
+                    .map_err(|refusal| refusal.workspace(holder.workspace.clone()))?;
+            }
+        }
+        Ok(grant)
+    }
+
+    fn admit(&self, current: &Current, grant: &Grant) -> Result<Held> {
+        let transfer = grant
+            .holder
+            .as_ref()
+            .map(|holder| self.transfer(current, holder))
+            .transpose()?;
+        let permit = grant
+            .holder
+            .as_ref()
+            .map(|holder| {
+                let now = self.clock.now();
+                self.admission.admit(now, &holder.workspace, &grant.route)
+            })
+            .transpose()?;
+        Ok(Held {
+            transfer,
+            _permit: permit,
+            _in_flight: Unit::new(&self.metrics.in_flight),
+        })
+    }
+
+    /// Registers a running request so that a withdrawal of its key ends it.
+    fn transfer(&self, current: &Current, holder: &Holder) -> Result<Transfer> {
+        let transfer = self.transfers.begin(holder.key);
+        // A snapshot adopted between the check of the key and this point did not see the request.
+        let newest = self.current.load();
+        let valid = newest.as_deref().is_none_or(|newest| {
+            newest.snapshot().version == current.snapshot().version
+                || newest.access().is_valid(&holder.key)
+        });
+        if valid {
+            Ok(transfer)
+        } else {
+            Err(Refusal::not_run(Reason::Withdrawn))
+        }
+    }
+
+    fn group(&self, current: &Current, grant: &Grant) -> Result<(Release, Arc<Group>)> {
+        let refusal = Refusal::not_run(Reason::NoServer);
+        let now = self.clock.now();
+        let release = self.shift.choose(now, current.snapshot(), grant);
+        let release = release.ok_or_else(|| refusal.clone())?;
+        let group = current.group(&grant.route.service, &release);
+        let group = group.map(Arc::clone).ok_or(refusal)?;
+        Ok((release, group))
+    }
+}
+
+fn timeout(head: &Parts) -> Result<Option<u64>> {
+    let Some(value) = head.headers.get(refusal::TIMEOUT) else {
+        return Ok(None);
+    };
+    let millis = value.to_str().ok().and_then(|text| text.parse().ok());
+    millis.map_or(Err(Refusal::not_run(Reason::Malformed)), |millis| {
+        Ok(Some(millis))
+    })
+}
--- /dev/null
+++ b/crates/daemon/src/request/mod.rs
@@ -0,0 +1,15 @@
+//! The path of one request from a caller to a backend server and back.
+
+pub mod admission;
+pub mod body;
+pub mod clock;
+pub mod directory;
+pub mod forward;
+pub mod freshness;
+pub mod gateway;
+pub mod metrics;
+pub mod refuse;
+pub mod select;
+pub mod shift;
+pub mod transfer;
+pub mod upload;
