--- a/crates/core/src/request/mod.rs
+++ b/crates/core/src/request/mod.rs
@@ -4,3 +4,5 @@
 pub mod deadline;
 pub mod header;
 pub mod once;
+pub mod path;
+pub mod retry;
