feat(config): read and validate documents from INI texts

Operators need every error of a document at once, with its line, before anything is applied.

Nothing was measured.

--- a/crates/config/src/document.rs
+++ b/crates/config/src/document.rs
@@ -1,5 +1,6 @@
 //! The operators' configuration document.
 
+use crate::{ini::Invalid, validate};
 use azurenotch_wire::id::{
     DataCentre, Region, Release, Route as RouteName, Server as ServerName, Service, Workspace,
 };
@@ -14,7 +15,7 @@
     pub fleet: Fleet,
     /// Region of each data centre.
     pub data_centres: BTreeMap<DataCentre, Region>,
-    /// Version of each service that serves when no move is under way.
+    /// Initial version of each service; finished moves replace it in `Snapshot::releases`.
     pub services: BTreeMap<Service, Release>,
     /// Backend servers.
     pub servers: BTreeMap<ServerName, Server>,
@@ -26,6 +27,48 @@
     pub blocks: BTreeMap<IpNet, Vec<Region>>,
 }
 
+impl Document {
+    /// Reads a document from its INI text and validates it as a whole.
+    ///
+    /// Fields that may be left out have these defaults:
+    ///
+    /// | Section | Field | Default |
+    /// | --- | --- | --- |
+    /// | `[fleet]` | `slots`, `look-up-lifetime` | `16`, `10s` |
+    /// | `[route N]` | `access`, `idempotent` | `keyed`, `no` |
+    /// | `[route N]` | `timeout`, `body-limit` | `10s`, `1MiB` |
+    /// | `[workspace W]` | `regional-share` | none: every region may use the whole rate |
+    /// | `[workspace W]` | `version-share-step`, `version-step-interval` | `0.1`, `30s` |
+    /// | `[workspace W]` | `refusals`, `isolation-limit` | `0.01`, `1m` |
+    ///
+    /// # Errors
+    ///
+    /// Returns every error of the text with its line number.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use azurenotch_config::document::Document;
+    ///
+    /// let invalid = Document::parse("[service consulta]\nversoin = 1\n").unwrap_err();
+    /// assert_eq!(
+    ///     invalid.to_string(),
+    ///     "line 1: missing field \"version\" in [service consulta]\n\
+    ///      line 2: unknown field \"versoin\" in [service consulta]",
+    /// );
+    /// ```
+    pub fn parse(text: &str) -> Result<Self, Invalid> {
+        validate::document(text)
+    }
+
+    /// Returns whether a backend server of this service and version is listed.
+    pub fn has_server(&self, service: &str, release: &Release) -> bool {
+        self.servers
+            .values()
+            .any(|server| server.service.as_str() == service && server.release == *release)
+    }
+}
+
 /// Settings of the whole fleet.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Fleet {
@@ -81,12 +124,14 @@
 }
 
 /// Whether a route needs a key.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Access {
     /// Anybody may call.
+    #[display("open")]
     Open,
     /// Only requests with a valid key run.
+    #[display("keyed")]
     Keyed,
 }
 
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -1,7 +1,12 @@
 //! Configuration of azurenotch: INI documents, snapshots, changes and daemon settings.
 
 pub mod change;
+pub mod diff;
 pub mod document;
+pub mod ini;
 pub mod snapshot;
+pub mod value;
+
+mod validate;
 
 pub use azurenotch_wire::{Map, Set};
