feat(config): read the daemon's settings

A daemon learns its name, data centre, addresses and limits from an INI file.

Nothing was measured.

--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod diff;
 pub mod document;
 pub mod ini;
+pub mod setting;
 pub mod snapshot;
 pub mod value;
 
