--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod snapshot;
 pub mod value;
 
+mod apply;
 mod validate;
 
 pub use azurenotch_wire::{Map, Set};
