--- a/crates/config/src/setting.rs
+++ b/crates/config/src/setting.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     ini::{self, Errors, Invalid, Kind, Section},
-    value::{Base, Size, Value},
+    value::{Base, List, Size, Value},
 };
 use azurenotch_wire::id::{DataCentre, Host as HostName};
 use std::{net::SocketAddr, time::Duration};
@@ -39,6 +39,8 @@
     pub peer: SocketAddr,
     /// Address where it takes operators.
     pub operator: SocketAddr,
+    /// Addresses of other hosts for peers, asked when the platform's list cannot be read.
+    pub seeds: Vec<SocketAddr>,
 }
 
 /// Section `[platform]`: endpoints of the platform.
@@ -129,7 +131,7 @@
 impl Setting {
     /// Reads the settings from their INI text.
     ///
-    /// `[host]` has no defaults. The other fields that may be left out have these defaults:
+    /// `[host]` has no defaults, except that `seeds` may be left out. The other fields that may be left out have these defaults:
     ///
     /// | Section | Field | Default |
     /// | --- | --- | --- |
@@ -234,12 +236,14 @@
         }
     }
     let [(_, listen), (_, peer), (_, operator)] = listeners;
+    let seeds = section.optional::<List<SocketAddr>>("seeds", errors);
     Some(Host {
         name: name?,
         data_centre: data_centre?,
         listen: listen?,
         peer: peer?,
         operator: operator?,
+        seeds: seeds.map(|seeds| seeds.0).unwrap_or_default(),
     })
 }
 
--- a/crates/core/src/process/freshness.rs
+++ b/crates/core/src/process/freshness.rs
@@ -258,6 +258,8 @@
             incarnation: Incarnation(incarnation),
             data_centre: "d1".into(),
             address: "127.0.0.1:1".parse().unwrap(),
+            peer: "127.0.0.1:1".parse().unwrap(),
+            operator: "127.0.0.1:1".parse().unwrap(),
             state: State::Live,
             stamp: Stamp::default(),
             version,
--- a/crates/core/src/process/membership/tests.rs
+++ b/crates/core/src/process/membership/tests.rs
@@ -89,6 +89,8 @@
         incarnation: Incarnation(incarnation),
         data_centre,
         address: "127.0.0.1:1".parse().unwrap(),
+        peer: "127.0.0.1:1".parse().unwrap(),
+        operator: "127.0.0.1:1".parse().unwrap(),
         state,
         stamp: Stamp::default(),
         version: Version::default(),
--- a/crates/core/src/process/mod.rs
+++ b/crates/core/src/process/mod.rs
@@ -2,9 +2,9 @@
 
 pub mod adoption;
 pub mod bucket;
-pub mod slot;
 pub mod budget;
 pub mod freshness;
 pub mod lease;
 pub mod membership;
+pub mod slot;
 pub mod timeline;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,3 +1,117 @@
 //! The daemon of an entry host.
 
-fn main() {}
+use azurenotch_config::setting::{Level, Setting};
+use azurenotch_daemon::process::daemon::{Daemon, Parts};
+use azurenotch_platform::http::Client;
+use bpaf::Bpaf;
+use mimalloc::MiMalloc;
+use slog::{Drain, LevelFilter, Logger, info, o};
+use std::{fs, io, path::PathBuf, process::ExitCode, sync::Arc};
+use tokio::signal::unix::{SignalKind, signal};
+
+#[global_allocator]
+static ALLOCATOR: MiMalloc = MiMalloc;
+
+/// Exit code when the daemon cannot start.
+const START_FAILED: u8 = 1;
+/// Exit code for settings that cannot be read or are invalid.
+const BAD_SETTINGS: u8 = 2;
+/// Log records that wait to be written; more are counted and dropped.
+const LOG_QUEUE: usize = 4096;
+
+/// Serves callers of one entry host.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(options, version)]
+struct Options {
+    /// Check the settings and exit
+    check: bool,
+    /// File with the settings (INI)
+    #[bpaf(argument("FILE"))]
+    settings: PathBuf,
+}
+
+fn main() -> ExitCode {
+    let options = options().run();
+    let setting = match read(&options.settings) {
+        Ok(setting) => setting,
+        Err(detail) => {
+            eprintln!("azurenotchd: {}: {detail}", options.settings.display());
+            return ExitCode::from(BAD_SETTINGS);
+        }
+    };
+    if options.check {
+        println!("{}: settings are valid", options.settings.display());
+        return ExitCode::SUCCESS;
+    }
+    let runtime = match tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+    {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("azurenotchd: runtime cannot start: {error}");
+            return ExitCode::from(START_FAILED);
+        }
+    };
+    runtime.block_on(run(setting))
+}
+
+fn read(path: &PathBuf) -> Result<Setting, Box<dyn std::error::Error>> {
+    Ok(Setting::parse(&fs::read_to_string(path)?)?)
+}
+
+async fn run(setting: Setting) -> ExitCode {
+    let log = logger(setting.log.level);
+    let platform = &setting.platform;
+    let client = |base: std::net::SocketAddr| Arc::new(Client::new(base).timeout(platform.timeout));
+    let parts = Parts::new(
+        client(platform.table.address),
+        client(platform.store.address),
+        client(platform.roster.address),
+    );
+    let (mut terminate, mut interrupt) = match (
+        signal(SignalKind::terminate()),
+        signal(SignalKind::interrupt()),
+    ) {
+        (Ok(terminate), Ok(interrupt)) => (terminate, interrupt),
+        (Err(error), _) | (_, Err(error)) => {
+            eprintln!("azurenotchd: signals cannot be received: {error}");
+            return ExitCode::from(START_FAILED);
+        }
+    };
+    let daemon = match Daemon::start(setting, parts, log.clone()).await {
+        Ok(daemon) => daemon,
+        Err(error) => {
+            eprintln!("azurenotchd: {error}");
+            return ExitCode::from(START_FAILED);
+        }
+    };
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    info!(log, "daemon: stopping");
+    tokio::select! {
+        () = daemon.shut_down() => {}
+        // A second interrupt does not wait for running requests.
+        _ = interrupt.recv() => {}
+    }
+    ExitCode::SUCCESS
+}
+
+fn logger(level: Level) -> Logger {
+    let level = match level {
+        Level::Critical => slog::Level::Critical,
+        Level::Error => slog::Level::Error,
+        Level::Warning => slog::Level::Warning,
+        Level::Info => slog::Level::Info,
+        Level::Debug => slog::Level::Debug,
+        Level::Trace => slog::Level::Trace,
+    };
+    let json = slog_json::Json::default(io::stderr()).fuse();
+    let queue = slog_async::Async::new(json)
+        .chan_size(LOG_QUEUE)
+        .build()
+        .fuse();
+    Logger::root(LevelFilter::new(queue, level).fuse(), o!())
+}
--- /dev/null
+++ b/crates/daemon/src/process/budget.rs
@@ -0,0 +1,441 @@
+//! Actor that reports demand, applies grants and, while it holds the role, divides the budgets.
+
+use crate::process::{
+    admission::{Fleet, Seat},
+    node::Node,
+    role,
+    transport::{self, Transport},
+};
+use azurenotch_config::snapshot::Snapshot;
+use azurenotch_core::process::budget::{Allocation, Ledger, Reporter, Supply, Timing, Write};
+use azurenotch_platform::table::{Error as TableError, Expect, Fence};
+use azurenotch_wire::{
+    budget::{Grant, Report},
+    event::Kind,
+    time::Instant,
+};
+use ractor::{Actor, ActorProcessingErr, ActorRef, RpcReplyPort};
+use slog::debug;
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+
+/// Name of the role.
+pub const ROLE: &str = "budget";
+/// Table key of the recorded allocation.
+const ROW: &str = "budget/allocation";
+/// Time between two reports.
+const INTERVAL: Duration = Duration::from_secs(1);
+/// Longest time for the answer to a report.
+const TIMEOUT: Duration = Duration::from_millis(900);
+/// Change of a share, relative to itself, that is worth an event.
+const EVENT_CHANGE: f64 = 0.2;
+
+/// Reports demand, applies grants and divides the budgets.
+#[derive(Debug)]
+pub struct Budget;
+
+/// Message to the actor.
+#[derive(Debug)]
+pub enum Message {
+    /// Time for a round.
+    Round,
+    /// The host's slot changed.
+    Seat(Option<Seat>),
+    /// A configuration came into force.
+    Adopted(Arc<Snapshot>),
+    /// The lease of the role was renewed or lost.
+    Role(role::Change),
+    /// The recorded allocation was read for a lease with this token.
+    Recorded(u64, Allocation, u64),
+    /// The answer to writing a proposal.
+    Written(u64, Write, Option<u64>),
+    /// The recorded allocation was read again after a write in doubt.
+    Reread(u64, Allocation, u64),
+    /// A host reports.
+    Report(Box<Report>, RpcReplyPort<Option<Grant>>),
+    /// The holder answered this host's report.
+    Granted(Grant),
+    /// Give everything back before a planned stop.
+    Stop(RpcReplyPort<()>),
+}
+
+/// State of the actor.
+#[derive(Debug)]
+pub struct State {
+    node: Arc<Node>,
+    fleet: Arc<Fleet>,
+    timing: Timing,
+    seat: Option<Seat>,
+    reporter: Option<Reporter>,
+    snapshot: Option<Arc<Snapshot>>,
+    ledger: Option<Ledger>,
+    /// Token of the lease while the recorded allocation is being read.
+    acquired: Option<(u64, Instant)>,
+    /// Version of the allocation's row; zero if there is none.
+    version: u64,
+    busy: bool,
+    stopping: bool,
+    shown: BTreeMap<String, f64>,
+}
+
+impl Actor for Budget {
+    type Msg = Message;
+    type State = State;
+    type Arguments = (Arc<Node>, Arc<Fleet>);
+
+    async fn pre_start(
+        &self,
+        myself: ActorRef<Message>,
+        (node, fleet): Self::Arguments,
+    ) -> Result<State, ActorProcessingErr> {
+        drop(myself.send_interval(INTERVAL, || Message::Round));
+        Ok(State {
+            node,
+            fleet,
+            timing: Timing::default(),
+            seat: None,
+            reporter: None,
+            snapshot: None,
+            ledger: None,
+            acquired: None,
+            version: 0,
+            busy: false,
+            stopping: false,
+            shown: BTreeMap::new(),
+        })
+    }
+
+    async fn handle(
+        &self,
+        myself: ActorRef<Message>,
+        message: Message,
+        state: &mut State,
+    ) -> Result<(), ActorProcessingErr> {
+        match message {
+            Message::Round => state.round(&myself),
+            Message::Seat(seat) => state.on_seat(seat),
+            Message::Adopted(snapshot) => state.on_adopted(snapshot),
+            Message::Role(change) => state.on_role(&myself, change),
+            Message::Recorded(token, recorded, version) => {
+                state.on_recorded(token, recorded, version);
+            }
+            Message::Written(token, write, version) => state.on_written(token, write, version),
+            Message::Reread(token, row, version) => state.on_reread(token, &row, version),
+            Message::Report(report, reply) => {
+                let answer = state.on_report(&report);
+                // The host may have stopped waiting.
+                let _ = reply.send(answer);
+            }
+            Message::Granted(grant) => state.on_granted(&grant),
+            Message::Stop(reply) => state.stop(reply),
+        }
+        Ok(())
+    }
+}
+
+impl State {
+    fn round(&mut self, myself: &ActorRef<Message>) {
+        self.lead(myself);
+        if !self.stopping {
+            self.report(myself, false);
+        }
+        self.record_shares();
+    }
+
+    fn on_seat(&mut self, seat: Option<Seat>) {
+        let now = self.node.clock.now();
+        let is_same_slot =
+            self.seat.as_ref().map(|seat| seat.slot) == seat.as_ref().map(|seat| seat.slot);
+        if !is_same_slot {
+            self.reporter = seat.as_ref().map(|seat| {
+                let host = self.node.host().clone();
+                let region = seat.region.clone();
+                Reporter::new(host, self.node.incarnation, seat.slot, region, self.timing)
+            });
+            self.fleet.stop(now);
+        }
+        self.seat.clone_from(&seat);
+        if let Some(snapshot) = &self.snapshot {
+            self.fleet.set_seat(now, seat, snapshot);
+        }
+    }
+
+    fn on_adopted(&mut self, snapshot: Arc<Snapshot>) {
+        let now = self.node.clock.now();
+        if let Some(ledger) = &mut self.ledger {
+            ledger.supply(now, supplies(&snapshot));
+        }
+        self.fleet.set_seat(now, self.seat.clone(), &snapshot);
+        self.snapshot = Some(snapshot);
+    }
+
+    fn on_role(&mut self, myself: &ActorRef<Message>, change: role::Change) {
+        match change {
+            role::Change::Lost => {
+                self.ledger = None;
+                self.acquired = None;
+            }
+            role::Change::Renewed { token, sent } => {
+                match &mut self.ledger {
+                    Some(ledger) if ledger.token() == token => ledger.renewed(sent),
+                    _ => {
+                        self.ledger = None;
+                        self.acquired = Some((token, sent));
+                    }
+                }
+                if self.ledger.is_none() {
+                    self.read(myself, token, Message::Recorded);
+                }
+            }
+        }
+    }
+
+    /// Reads the recorded allocation and sends it back with `message`.
+    fn read(
+        &self,
+        myself: &ActorRef<Message>,
+        token: u64,
+        message: fn(u64, Allocation, u64) -> Message,
+    ) {
+        let table = Arc::clone(&self.node.table);
+        let myself = myself.clone();
+        tokio::spawn(async move {
+            let Ok(row) = table.get(ROW).await else {
+                return;
+            };
+            let (value, version) = row.map_or((Vec::new(), 0), |row| (row.value, row.version));
+            let allocation = if value.is_empty() {
+                Ok(Allocation::default())
+            } else {
+                rmp_serde::from_slice(&value)
+            };
+            if let Ok(allocation) = allocation {
+                send(&myself, message(token, allocation, version));
+            }
+        });
+    }
+
+    fn on_recorded(&mut self, token: u64, recorded: Allocation, version: u64) {
+        let Some((_, sent)) = self.acquired.take_if(|(acquired, _)| *acquired == token) else {
+            return;
+        };
+        let now = self.node.clock.now();
+        let mut ledger = Ledger::new(token, self.timing, now, recorded);
+        ledger.renewed(sent);
+        if let Some(snapshot) = &self.snapshot {
+            ledger.supply(now, supplies(snapshot));
+        }
+        self.ledger = Some(ledger);
+        self.version = version;
+        self.busy = false;
+    }
+
+    /// Divides the budgets while this host holds the role.
+    fn lead(&mut self, myself: &ActorRef<Message>) {
+        let now = self.node.clock.now();
+        let Some(ledger) = &mut self.ledger else {
+            return;
+        };
+        let token = ledger.token();
+        if ledger.in_doubt() {
+            self.read(myself, token, Message::Reread);
+            return;
+        }
+        if self.busy {
+            return;
+        }
+        if let Some(allocation) = ledger.tick(now) {
+            self.busy = true;
+            self.write(myself, token, &allocation);
+        }
+    }
+
+    fn write(&self, myself: &ActorRef<Message>, token: u64, allocation: &Allocation) {
+        let table = Arc::clone(&self.node.table);
+        let myself = myself.clone();
+        let expect = if self.version == 0 {
+            Expect::Absent
+        } else {
+            Expect::Version(self.version)
+        };
+        let value = rmp_serde::to_vec(allocation);
+        tokio::spawn(async move {
+            let Ok(value) = value else {
+                send(&myself, Message::Written(token, Write::Unavailable, None));
+                return;
+            };
+            let fence = Fence {
+                key: role::row(ROLE),
+                token,
+            };
+            let (write, version) = match table.put(ROW, &value, expect, Some(&fence)).await {
+                Ok(version) => (Write::Done, Some(version)),
+                Err(TableError::Conflict { row, .. }) => {
+                    (Write::Conflict, row.map(|row| row.version))
+                }
+                Err(TableError::Fenced { .. }) => (Write::Fenced, None),
+                Err(TableError::Unavailable { .. }) => (Write::Unavailable, None),
+                Err(_) => (Write::Ambiguous, None),
+            };
+            send(&myself, Message::Written(token, write, version));
+        });
+    }
+
+    fn on_written(&mut self, token: u64, write: Write, version: Option<u64>) {
+        let Some(ledger) = self
+            .ledger
+            .as_mut()
+            .filter(|ledger| ledger.token() == token)
+        else {
+            return;
+        };
+        self.busy = false;
+        ledger.recorded(write);
+        if let (Write::Done, Some(version)) = (write, version) {
+            self.version = version;
+        }
+    }
+
+    fn on_reread(&mut self, token: u64, row: &Allocation, version: u64) {
+        let Some(ledger) = self
+            .ledger
+            .as_mut()
+            .filter(|ledger| ledger.token() == token)
+        else {
+            return;
+        };
+        self.version = version;
+        ledger.reread(row);
+    }
+
+    /// Answers a report, unless this host does not hold the role or must not answer.
+    fn on_report(&mut self, report: &Report) -> Option<Grant> {
+        let now = self.node.clock.now();
+        let answer = self.ledger.as_mut()?.report(now, report);
+        if let Err(rejection) = &answer {
+            debug!(self.node.log, "budget: report was not answered";
+                "from" => %report.host, "reason" => %rejection);
+        }
+        answer.ok()
+    }
+
+    /// Reports to the holder with the highest token that is known.
+    fn report(&mut self, myself: &ActorRef<Message>, leaving: bool) {
+        let own = self.ledger.as_ref().map(|ledger| (ledger.token(), None));
+        let peers = self.node.peers.load();
+        let others = peers.iter().filter_map(|peer| {
+            let role = peer.roles.iter().find(|role| role.name == ROLE)?;
+            Some((role.token, Some(peer.peer)))
+        });
+        let Some((token, address)) = others.chain(own).max_by_key(|(token, _)| *token) else {
+            return;
+        };
+        let now = self.node.clock.now();
+        let Some(reporter) = &mut self.reporter else {
+            return;
+        };
+        let report = reporter.report(now, token, leaving, || self.fleet.usage(now));
+        match address {
+            None => {
+                if let Some(grant) = self.on_report(&report) {
+                    self.on_granted(&grant);
+                }
+            }
+            Some(address) => {
+                let transport = Arc::clone(&self.node.transport);
+                let myself = myself.clone();
+                tokio::spawn(async move {
+                    if let Ok(grant) = send_report(&*transport, address, &report).await {
+                        send(&myself, Message::Granted(grant));
+                    }
+                });
+            }
+        }
+    }
+
+    fn on_granted(&mut self, grant: &Grant) {
+        let now = self.node.clock.now();
+        let Some(reporter) = &mut self.reporter else {
+            return;
+        };
+        if let Some(until) = reporter.accept(now, grant)
+            && !self.stopping
+        {
+            self.fleet.grant(now, grant, until);
+        }
+    }
+
+    /// Gives the elastic shares back; the answer does not wait for the holder's.
+    fn stop(&mut self, reply: RpcReplyPort<()>) {
+        self.stopping = true;
+        let now = self.node.clock.now();
+        self.fleet.stop(now);
+        let Some(reporter) = &mut self.reporter else {
+            let _ = reply.send(());
+            return;
+        };
+        let token = reporter.token();
+        let report = reporter.report(now, token, true, || self.fleet.usage(now));
+        let own = self.ledger.as_ref().map(Ledger::token);
+        if own == Some(token) {
+            // The answer to a leaving host grants nothing.
+            let _ = self.on_report(&report);
+            let _ = reply.send(());
+            return;
+        }
+        let peers = self.node.peers.load();
+        let holder = peers.iter().find(|peer| {
+            peer.roles
+                .iter()
+                .any(|role| role.name == ROLE && role.token == token)
+        });
+        let address = holder.map(|peer| peer.peer);
+        let transport = Arc::clone(&self.node.transport);
+        tokio::spawn(async move {
+            if let Some(address) = address {
+                // Without an answer the shares lapse after their validity.
+                let _ = send_report(&*transport, address, &report).await;
+            }
+            let _ = reply.send(());
+        });
+    }
+
+    fn record_shares(&mut self) {
+        for (workspace, usable) in self.fleet.usable(self.node.clock.now()) {
+            let shown = self.shown.entry(workspace.to_string()).or_default();
+            if (usable.rate - *shown).abs() > EVENT_CHANGE * shown.max(1.0) {
+                *shown = usable.rate;
+                let kind = Kind::Share {
+                    workspace,
+                    rate: usable.rate,
+                    burst: usable.burst,
+                };
+                self.node.recorder.record(kind);
+            }
+        }
+    }
+}
+
+async fn send_report(
+    transport: &dyn Transport,
+    address: SocketAddr,
+    report: &Report,
+) -> transport::Result<Grant> {
+    transport::call(transport, address, "/peer/budget", report, TIMEOUT).await
+}
+
+fn supplies(snapshot: &Snapshot) -> BTreeMap<azurenotch_wire::id::Workspace, Supply> {
+    let document = &snapshot.document;
+    document
+        .workspaces
+        .iter()
+        .map(|(workspace, contract)| {
+            let supply = Supply::contract(workspace, contract, document.fleet.slots);
+            (workspace.clone(), supply)
+        })
+        .collect()
+}
+
+fn send(actor: &ActorRef<Message>, message: Message) {
+    // The actor is gone only when the process stops.
+    let _ = actor.send_message(message);
+}
--- /dev/null
+++ b/crates/daemon/src/process/change.rs
@@ -0,0 +1,244 @@
+//! Acceptance of a configuration change.
+
+use crate::process::node::{Encoded, Node};
+use azurenotch_config::{
+    change::{Change, Error as Refusal},
+    snapshot::{Error as SnapshotError, Snapshot, digest_of},
+};
+use azurenotch_platform::{
+    store,
+    table::{Error as TableError, Expect, Row},
+};
+use azurenotch_wire::{
+    id::Operation,
+    version::{Digest, Head, Version},
+};
+use rand::random;
+use snafu::{OptionExt, ResultExt, Snafu};
+use std::{sync::Arc, time::Duration};
+use tokio::time;
+
+/// Table key of the configuration head.
+pub const HEAD: &str = "config/head";
+/// Attempts at a change that races with others.
+const ATTEMPTS: u32 = 8;
+/// Attempts to learn whether a write took effect whose answer was lost.
+const DOUBT_ATTEMPTS: u32 = 4;
+/// Pause between two attempts.
+const PAUSE: Duration = Duration::from_millis(100);
+
+/// Result of a change.
+pub type Result<T, E = Error> = std::result::Result<T, E>;
+
+/// Why a change was not accepted.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// The change does not fit the configuration.
+    #[snafu(display("{source}"))]
+    Refused {
+        /// Cause.
+        source: Refusal,
+    },
+    /// Other changes were faster every time.
+    #[snafu(display("too many changes at the same time; try again"))]
+    Busy,
+    /// The table did not answer; nothing was accepted.
+    #[snafu(display("the table does not answer; nothing was changed"))]
+    Table {
+        /// Cause.
+        source: TableError,
+    },
+    /// The object store did not answer; nothing was accepted.
+    #[snafu(display("the object store does not answer; nothing was changed"))]
+    Store {
+        /// Cause.
+        source: store::Error,
+    },
+    /// The answer of the table was lost; the change may be accepted.
+    #[snafu(display("the table's answer was lost; the change may have been accepted"))]
+    Doubt,
+    /// A snapshot or the head cannot be encoded or decoded.
+    #[snafu(display("the stored configuration is malformed: {source}"))]
+    Malformed {
+        /// Cause.
+        source: SnapshotError,
+    },
+    /// The head cannot be encoded or decoded.
+    #[snafu(display("the configuration head is malformed"))]
+    Head {
+        /// Cause.
+        source: Box<dyn std::error::Error + Send + Sync>,
+    },
+    /// The object of the current version is missing.
+    #[snafu(display("the object of version {version} is missing in the store"))]
+    Missing {
+        /// The version.
+        version: Version,
+    },
+}
+
+/// An accepted change.
+#[derive(Debug)]
+pub struct Accepted {
+    /// Snapshot that holds the change.
+    pub snapshot: Snapshot,
+    /// The snapshot in its encoded form.
+    pub encoded: Encoded,
+}
+
+/// Returns the name of the object that holds a snapshot.
+pub fn object(digest: &Digest) -> String {
+    format!("snapshot-{digest}")
+}
+
+/// Decodes the content of the head row.
+///
+/// # Errors
+///
+/// Returns an error if the row holds something else.
+pub fn decode_head(row: &Row) -> Result<Head> {
+    rmp_serde::from_slice(&row.value).map_err(|source| Error::Head {
+        source: Box::new(source),
+    })
+}
+
+/// Accepts a change: writes the new snapshot, then moves the head to it.
+///
+/// # Errors
+///
+/// Returns why the change was not accepted, or [`Error::Doubt`] if that is not known.
+pub async fn accept(node: &Node, change: &Change) -> Result<Accepted> {
+    for _ in 0..ATTEMPTS {
+        let row = node.table.get(HEAD).await.context(TableSnafu)?;
+        let base = load_base(node, row.as_ref()).await?;
+        let snapshot = base
+            .apply(change, node.recorder.stamp())
+            .context(RefusedSnafu)?;
+        let expect = row.map_or(Expect::Absent, |row| Expect::Version(row.version));
+        let encoded = encode(&snapshot)?;
+        if publish(node, &encoded, expect).await? {
+            return Ok(Accepted { snapshot, encoded });
+        }
+        time::sleep(PAUSE.mul_f64(random::<f64>())).await;
+    }
+    BusySnafu.fail()
+}
+
+/// Writes a snapshot and moves the head to it; returns whether the head had not changed.
+///
+/// # Errors
+///
+/// Returns why the head was not moved, or [`Error::Doubt`] if that is not known.
+pub async fn publish(node: &Node, encoded: &Encoded, expect: Expect) -> Result<bool> {
+    node.store
+        .put(&object(&encoded.digest), &encoded.bytes)
+        .await
+        .context(StoreSnafu)?;
+    let head = Head {
+        version: encoded.version,
+        digest: encoded.digest.clone(),
+        operation: Operation(random()),
+    };
+    let value = rmp_serde::to_vec(&head).map_err(|source| Error::Head {
+        source: Box::new(source),
+    })?;
+    move_head(node, &head, &value, expect).await
+}
+
+/// Encodes a snapshot with its digest.
+///
+/// # Errors
+///
+/// Returns an error if the snapshot cannot be encoded.
+pub fn encode(snapshot: &Snapshot) -> Result<Encoded> {
+    let bytes = snapshot.encode().context(MalformedSnafu)?;
+    Ok(Encoded {
+        version: snapshot.version,
+        digest: digest_of(&bytes),
+        bytes,
+    })
+}
+
+/// Returns the snapshot that the head names; an empty one if there is no head yet.
+async fn load_base(node: &Node, row: Option<&Row>) -> Result<Arc<Snapshot>> {
+    let Some(row) = row else {
+        return Ok(Arc::default());
+    };
+    let head = decode_head(row)?;
+    if let Some(current) = node
+        .snapshot()
+        .filter(|current| current.version == head.version)
+        && node
+            .encoded
+            .load()
+            .as_ref()
+            .is_some_and(|encoded| encoded.digest == head.digest)
+    {
+        return Ok(current);
+    }
+    let bytes = node
+        .store
+        .get(&object(&head.digest))
+        .await
+        .context(StoreSnafu)?;
+    let bytes = bytes.context(MissingSnafu {
+        version: head.version,
+    })?;
+    Snapshot::decode_verified(&bytes, &head.digest)
+        .context(MalformedSnafu)
+        .map(Arc::new)
+}
+
+/// Replaces the head; a lost answer is resolved by reading the operation id back.
+///
+/// The write is repeated with the same expected version, so it takes effect at most once.
+async fn move_head(node: &Node, head: &Head, value: &[u8], expect: Expect) -> Result<bool> {
+    let mut in_doubt = false;
+    for _ in 0..DOUBT_ATTEMPTS {
+        match node.table.put(HEAD, value, expect, None).await {
+            Ok(_) => return Ok(true),
+            Err(TableError::Conflict { row, .. }) => {
+                let current = row.as_ref().map(decode_head).transpose()?;
+                return resolve(current.as_ref(), head, in_doubt);
+            }
+            Err(TableError::Ambiguous { .. }) => in_doubt = true,
+            Err(source) if !in_doubt => return Err(Error::Table { source }),
+            Err(_) => {}
+        }
+        time::sleep(PAUSE).await;
+    }
+    DoubtSnafu.fail()
+}
+
+/// Decides from the present head whether an own write took effect.
+fn resolve(current: Option<&Head>, own: &Head, in_doubt: bool) -> Result<bool> {
+    match current {
+        Some(current) if current.operation == own.operation => Ok(true),
+        // A later change may have replaced the own one, so that its operation id is gone.
+        Some(current) if in_doubt && current.version > own.version => DoubtSnafu.fail(),
+        _ => Ok(false),
+    }
+}
+
+impl Error {
+    /// Returns the code under which operators see the error.
+    pub fn code(&self) -> &'static str {
+        match self {
+            Self::Refused { source } => source.code(),
+            Self::Busy => "conflict",
+            Self::Table { .. } | Self::Store { .. } => "store-down",
+            Self::Doubt => "unknown",
+            Self::Malformed { .. } | Self::Head { .. } | Self::Missing { .. } => "malformed-store",
+        }
+    }
+
+    /// Returns the version in force, where the error names it.
+    pub fn current(&self) -> Option<Version> {
+        match self {
+            Self::Refused {
+                source: Refusal::Conflict { current },
+            } => Some(*current),
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/process/daemon.rs
@@ -0,0 +1,390 @@
+//! Assembly, start and graceful shutdown of one daemon.
+
+use crate::{
+    connection::listener::{self, Listener},
+    process::{
+        admission::Fleet,
+        budget, configuration,
+        directory::Hosts,
+        freshness::Evidence,
+        node::Node,
+        operator_api::OperatorApi,
+        peer_api::PeerApi,
+        peers,
+        recorder::Recorder,
+        role,
+        serve::serve,
+        slot,
+        transport::{Http, Transport},
+    },
+    request::{
+        clock::{Clock, Monotonic},
+        gateway::Gateway,
+    },
+};
+use arc_swap::{ArcSwap, ArcSwapOption};
+use azurenotch_config::setting::Setting;
+use azurenotch_platform::{Roster, Store, Table};
+use azurenotch_wire::{event::Kind, id::Incarnation};
+use parking_lot::Mutex;
+use prometheus::Registry;
+use ractor::{Actor, ActorRef};
+use rand::random;
+use slog::{Logger, info, o, warn};
+use snafu::{ResultExt, Snafu};
+use std::{collections::BTreeMap, io, net::SocketAddr, sync::Arc, time::Duration};
+use tokio::{net::TcpListener, task::JoinHandle, time};
+use tokio_util::sync::CancellationToken;
+
+/// Longest time for each step of giving up shares, slot and roles.
+const RELEASE_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Result of starting a daemon.
+pub type Result<T, E = Error> = std::result::Result<T, E>;
+
+/// Why a daemon cannot start.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// The port for callers cannot be served.
+    #[snafu(display("port for callers: {source}"))]
+    Callers {
+        /// Cause.
+        source: listener::Error,
+    },
+    /// A port cannot be served.
+    #[snafu(display("port for {purpose}: cannot listen on {address}"))]
+    Bind {
+        /// Whom the port is for.
+        purpose: &'static str,
+        /// Wanted address.
+        address: SocketAddr,
+        /// Cause.
+        source: io::Error,
+    },
+    /// A metric is registered twice.
+    #[snafu(display("metrics cannot be registered"))]
+    Metrics {
+        /// Cause.
+        source: prometheus::Error,
+    },
+    /// A control actor cannot start.
+    #[snafu(display("control actor {name} cannot start"))]
+    Spawn {
+        /// Name of the actor.
+        name: &'static str,
+        /// Cause.
+        source: ractor::SpawnErr,
+    },
+}
+
+/// Outside systems of a daemon.
+#[derive(Debug, Clone)]
+pub struct Parts {
+    /// The platform's table.
+    pub table: Arc<dyn Table>,
+    /// The platform's object store.
+    pub store: Arc<dyn Store>,
+    /// The platform's list of hosts.
+    pub roster: Arc<dyn Roster>,
+    /// Calls to other hosts.
+    pub transport: Arc<dyn Transport>,
+    /// Monotonic clock.
+    pub clock: Arc<dyn Clock>,
+}
+
+impl Parts {
+    /// Creates the parts with the real clock and HTTP between hosts.
+    pub fn new(table: Arc<dyn Table>, store: Arc<dyn Store>, roster: Arc<dyn Roster>) -> Self {
+        Self {
+            table,
+            store,
+            roster,
+            transport: Arc::new(Http::default()),
+            clock: Arc::new(Monotonic::new()),
+        }
+    }
+
+    /// Sets the calls to other hosts.
+    #[must_use]
+    pub fn transport(mut self, transport: Arc<dyn Transport>) -> Self {
+        self.transport = transport;
+        self
+    }
+
+    /// Sets the clock.
+    #[must_use]
+    pub fn clock(mut self, clock: Arc<dyn Clock>) -> Self {
+        self.clock = clock;
+        self
+    }
+}
+
+/// One running daemon.
+#[derive(Debug)]
+pub struct Daemon {
+    node: Arc<Node>,
+    hosts: Arc<Hosts>,
+    actors: Actors,
+    callers: JoinHandle<()>,
+    /// Ends the port for callers gracefully.
+    stop_callers: CancellationToken,
+    /// Ends everything else.
+    stop: CancellationToken,
+}
+
+/// Control actors.
+#[derive(Debug)]
+struct Actors {
+    configuration: ActorRef<configuration::Message>,
+    peers: ActorRef<peers::Message>,
+    budget: ActorRef<budget::Message>,
+    slot: ActorRef<slot::Message>,
+    roles: Vec<ActorRef<role::Message>>,
+}
+
+impl Daemon {
+    /// Starts a daemon; it serves callers as soon as it holds a configuration.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a port cannot be used; nothing is served then.
+    pub async fn start(mut setting: Setting, parts: Parts, log: Logger) -> Result<Self> {
+        let log = log.new(o!("host" => setting.host.name.to_string()));
+        let registry = Registry::new();
+        let incarnation = Incarnation(crate::process::recorder::wall_ms());
+        let own = &setting.host;
+        let peers = Arc::new(ArcSwap::default());
+        let hosts = Arc::new(Hosts::new(
+            own.name.clone(),
+            own.data_centre.clone(),
+            Arc::clone(&peers),
+        ));
+        let fleet = Arc::new(Fleet::new(Arc::clone(&parts.clock)));
+        let evidence = Arc::new(Evidence::new(own.name.clone()));
+        let clock = Arc::clone(&parts.clock);
+        let gateway = Gateway::new(
+            &own.name,
+            incarnation,
+            own.data_centre.clone(),
+            clock,
+            &registry,
+        )
+        .context(MetricsSnafu)?
+        .with_admission(Arc::clone(&fleet) as _)
+        .with_directory(Arc::clone(&hosts) as _)
+        .with_freshness(Arc::clone(&evidence) as _)
+        .with_log(log.clone());
+        let gateway = Arc::new(gateway);
+        let callers = Listener::bind(own.listen, Arc::clone(&gateway), log.clone())
+            .await
+            .context(CallersSnafu)?
+            .with_connections(setting.limits.connections as usize);
+        let peer_port = bind("hosts", own.peer).await?;
+        let operator_port = bind("operators", own.operator).await?;
+        setting.host.listen = callers.address();
+        setting.host.peer = local(&peer_port, setting.host.peer)?;
+        setting.host.operator = local(&operator_port, setting.host.operator)?;
+        hosts.set_address(setting.host.listen);
+        let node = Arc::new(Node {
+            recorder: Arc::new(Recorder::new(setting.host.name.clone(), log.clone())),
+            setting,
+            incarnation,
+            clock: parts.clock,
+            table: parts.table,
+            store: parts.store,
+            roster: parts.roster,
+            transport: parts.transport,
+            gateway,
+            evidence,
+            peers,
+            encoded: ArcSwapOption::empty(),
+            roles: Mutex::new(BTreeMap::new()),
+            log: log.clone(),
+        });
+        node.recorder.record(Kind::Started { incarnation });
+        let actors = Actors::spawn(&node, &hosts, fleet).await?;
+        let stop = CancellationToken::new();
+        let peer_api = PeerApi {
+            node: Arc::clone(&node),
+            peers: actors.peers.clone(),
+            budget: actors.budget.clone(),
+        };
+        tokio::spawn(serve(
+            peer_port,
+            Arc::new(peer_api),
+            stop.clone(),
+            log.clone(),
+        ));
+        let operator_api = OperatorApi {
+            node: Arc::clone(&node),
+            registry,
+            configuration: actors.configuration.clone(),
+            peers: actors.peers.clone(),
+        };
+        tokio::spawn(serve(
+            operator_port,
+            Arc::new(operator_api),
+            stop.clone(),
+            log.clone(),
+        ));
+        let stop_callers = CancellationToken::new();
+        let callers = tokio::spawn(callers.run(stop_callers.clone()));
+        info!(log, "daemon: serving"; "callers" => %node.setting.host.listen,
+            "peers" => %node.setting.host.peer, "operators" => %node.setting.host.operator);
+        Ok(Self {
+            node,
+            hosts,
+            actors,
+            callers,
+            stop_callers,
+            stop,
+        })
+    }
+
+    /// Returns the addresses for callers, peers and operators.
+    pub fn addresses(&self) -> (SocketAddr, SocketAddr, SocketAddr) {
+        let own = &self.node.setting.host;
+        (own.listen, own.peer, own.operator)
+    }
+
+    /// Returns the shared state of the host.
+    pub fn node(&self) -> &Arc<Node> {
+        &self.node
+    }
+
+    /// Stops gracefully and cuts no running request.
+    ///
+    /// The host leaves all look-ups first and keeps serving until callers' cached look-ups are
+    /// over; then it finishes running requests and gives up its shares, slot and roles.
+    pub async fn shut_down(self) {
+        let log = &self.node.log;
+        self.node.recorder.record(Kind::Stopping);
+        self.hosts.leave();
+        self.node.gateway.set_stopping();
+        // Others stop naming this host when they see its state.
+        let _ = self.actors.peers.send_message(peers::Message::Announce);
+        let lifetime = self
+            .node
+            .snapshot()
+            .map(|snapshot| snapshot.document.fleet.look_up_lifetime);
+        time::sleep(lifetime.unwrap_or_default()).await;
+        self.stop_callers.cancel();
+        if let Err(error) = self.callers.await {
+            warn!(log, "daemon: port for callers failed"; "error" => %error);
+        }
+        self.actors.release().await;
+        self.node.recorder.record(Kind::Stopped);
+        self.actors.stop();
+        self.stop.cancel();
+    }
+
+    /// Stops at once, as a crash would: running requests are cut and nothing is given up.
+    pub fn abort(self) {
+        self.callers.abort();
+        self.stop_callers.cancel();
+        self.actors.stop();
+        self.stop.cancel();
+    }
+}
+
+impl Actors {
+    async fn spawn(node: &Arc<Node>, hosts: &Arc<Hosts>, fleet: Arc<Fleet>) -> Result<Self> {
+        let (budget, _) = Actor::spawn(None, budget::Budget, (Arc::clone(node), fleet))
+            .await
+            .context(SpawnSnafu { name: "budget" })?;
+        let (slot, _) = Actor::spawn(None, slot::Slot, (Arc::clone(node), budget.clone()))
+            .await
+            .context(SpawnSnafu { name: "slot" })?;
+        let adopted = {
+            let (hosts, budget) = (Arc::clone(hosts), budget.clone());
+            Box::new(
+                move |snapshot: Arc<azurenotch_config::snapshot::Snapshot>| {
+                    hosts.adopt(Arc::clone(&snapshot));
+                    // The actor is gone only when the process stops.
+                    let _ = budget.send_message(budget::Message::Adopted(snapshot));
+                },
+            )
+        };
+        let arguments = configuration::Arguments {
+            node: Arc::clone(node),
+            listener: adopted,
+        };
+        let (configuration, _) = Actor::spawn(None, configuration::Configuration, arguments)
+            .await
+            .context(SpawnSnafu {
+                name: "configuration",
+            })?;
+        let arguments = peers::Arguments {
+            node: Arc::clone(node),
+            configuration: configuration.clone(),
+        };
+        let (peers, _) = Actor::spawn(None, peers::Peers, arguments)
+            .await
+            .context(SpawnSnafu { name: "peers" })?;
+        let budget_role = {
+            let budget = budget.clone();
+            let listener = Box::new(move |change| {
+                // The actor is gone only when the process stops.
+                let _ = budget.send_message(budget::Message::Role(change));
+            });
+            spawn_role(node, budget::ROLE, listener).await?
+        };
+        Ok(Self {
+            configuration,
+            peers,
+            budget,
+            slot,
+            roles: vec![budget_role],
+        })
+    }
+
+    /// Gives up shares, slot and roles; what the platform does not confirm lapses by itself.
+    async fn release(&self) {
+        let timeout = Some(RELEASE_TIMEOUT);
+        let _ = self.budget.call(budget::Message::Stop, timeout).await;
+        let _ = self.slot.call(slot::Message::Release, timeout).await;
+        for role in &self.roles {
+            let _ = role.call(role::Message::Release, timeout).await;
+        }
+    }
+
+    fn stop(&self) {
+        self.configuration.stop(None);
+        self.peers.stop(None);
+        self.budget.stop(None);
+        self.slot.stop(None);
+        for role in &self.roles {
+            role.stop(None);
+        }
+    }
+}
+
+async fn spawn_role(
+    node: &Arc<Node>,
+    role: &str,
+    listener: role::Listener,
+) -> Result<ActorRef<role::Message>> {
+    let arguments = role::Arguments {
+        node: Arc::clone(node),
+        role: role.to_owned(),
+        listener,
+        seed: random(),
+    };
+    let (actor, _) = Actor::spawn(None, role::Role, arguments)
+        .await
+        .context(SpawnSnafu { name: "role" })?;
+    Ok(actor)
+}
+
+async fn bind(purpose: &'static str, address: SocketAddr) -> Result<TcpListener> {
+    TcpListener::bind(address)
+        .await
+        .context(BindSnafu { purpose, address })
+}
+
+fn local(listener: &TcpListener, address: SocketAddr) -> Result<SocketAddr> {
+    listener.local_addr().context(BindSnafu {
+        purpose: "local address",
+        address,
+    })
+}
--- /dev/null
+++ b/crates/daemon/src/process/mod.rs
@@ -0,0 +1,18 @@
+//! What lives as long as the process: control actors, peers' and operators' interfaces.
+
+pub mod admission;
+pub mod budget;
+pub mod change;
+pub mod configuration;
+pub mod daemon;
+pub mod directory;
+pub mod freshness;
+pub mod node;
+pub mod operator_api;
+pub mod peer_api;
+pub mod peers;
+pub mod recorder;
+pub mod role;
+pub mod serve;
+pub mod slot;
+pub mod transport;
--- /dev/null
+++ b/crates/daemon/src/process/peers.rs
@@ -0,0 +1,286 @@
+//! Actor that exchanges heartbeats and judges the other hosts.
+
+use crate::process::{
+    configuration,
+    node::{Node, Peer},
+    transport,
+};
+use azurenotch_core::process::membership::{Listed, Membership};
+use azurenotch_platform::roster::Entry;
+use azurenotch_wire::{
+    Map,
+    event::{Kind, Reachability},
+    id::Host,
+    peer::Heartbeat,
+    time::Instant,
+};
+use ractor::{Actor, ActorProcessingErr, ActorRef};
+use rand::random;
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+
+/// Time between two rounds of heartbeats.
+pub const INTERVAL: Duration = Duration::from_secs(1);
+/// Rounds between two reads of the platform's list of hosts.
+const ROSTER_ROUNDS: u64 = 5;
+/// Longest time for the answer to a heartbeat.
+const TIMEOUT: Duration = Duration::from_millis(900);
+
+/// Exchanges heartbeats and judges the other hosts.
+#[derive(Debug)]
+pub struct Peers;
+
+/// Message to the actor.
+#[derive(Debug)]
+pub enum Message {
+    /// Time for a round.
+    Round,
+    /// Send heartbeats at once, because the configuration changed.
+    Announce,
+    /// The platform's list of hosts.
+    Roster(Vec<Entry>),
+    /// A peer sent a heartbeat.
+    Heard(Box<Heartbeat>),
+    /// A peer answered a heartbeat that was sent at the first and answered at the second time.
+    Answered(Instant, Instant, Box<Heartbeat>),
+}
+
+/// Arguments of the actor.
+#[derive(Debug)]
+pub struct Arguments {
+    /// Shared state of the host.
+    pub node: Arc<Node>,
+    /// Actor that is told of versions.
+    pub configuration: ActorRef<configuration::Message>,
+}
+
+/// State of the actor.
+#[derive(Debug)]
+pub struct State {
+    node: Arc<Node>,
+    configuration: ActorRef<configuration::Message>,
+    membership: Membership,
+    /// Hosts on the platform's list.
+    roster: BTreeMap<Host, Entry>,
+    /// Last heartbeat of each host.
+    heard: Map<Host, Heartbeat>,
+    rounds: u64,
+    /// Whether the published list is out of date.
+    changed: bool,
+}
+
+impl Actor for Peers {
+    type Msg = Message;
+    type State = State;
+    type Arguments = Arguments;
+
+    async fn pre_start(
+        &self,
+        myself: ActorRef<Message>,
+        arguments: Arguments,
+    ) -> Result<State, ActorProcessingErr> {
+        let Arguments {
+            node,
+            configuration,
+        } = arguments;
+        let own = &node.setting.host;
+        let membership = Membership::new(own.name.clone(), own.data_centre.clone());
+        myself.send_message(Message::Round)?;
+        drop(myself.send_interval(INTERVAL, || Message::Round));
+        Ok(State {
+            node,
+            configuration,
+            membership,
+            roster: BTreeMap::new(),
+            heard: Map::default(),
+            rounds: 0,
+            changed: true,
+        })
+    }
+
+    async fn handle(
+        &self,
+        myself: ActorRef<Message>,
+        message: Message,
+        state: &mut State,
+    ) -> Result<(), ActorProcessingErr> {
+        match message {
+            Message::Round => {
+                state.round(&myself);
+                state.changed = true;
+            }
+            Message::Announce => state.probe(&myself),
+            Message::Roster(entries) => state.on_roster(entries),
+            Message::Heard(heartbeat) => state.on_heartbeat(*heartbeat),
+            Message::Answered(sent, received, heartbeat) => {
+                state
+                    .node
+                    .evidence
+                    .update(|evidence| evidence.on_answer(sent, received, &heartbeat));
+                state.on_heartbeat(*heartbeat);
+            }
+        }
+        // The list is rebuilt once a round and when something that others act on has changed.
+        if std::mem::take(&mut state.changed) {
+            state.publish();
+        }
+        Ok(())
+    }
+}
+
+impl State {
+    fn round(&mut self, myself: &ActorRef<Message>) {
+        let now = self.node.clock.now();
+        self.node.evidence.update(|evidence| evidence.tick(now));
+        let events = self.membership.tick(now);
+        self.record(events);
+        if self.rounds.is_multiple_of(ROSTER_ROUNDS) {
+            self.read_roster(myself);
+        }
+        self.rounds += 1;
+        self.probe(myself);
+    }
+
+    fn read_roster(&self, myself: &ActorRef<Message>) {
+        let node = Arc::clone(&self.node);
+        let myself = myself.clone();
+        tokio::spawn(async move {
+            if let Ok(entries) = node.roster.list().await {
+                // The actor is gone only when the process stops.
+                let _ = myself.send_message(Message::Roster(entries));
+            }
+        });
+    }
+
+    fn on_roster(&mut self, entries: Vec<Entry>) {
+        let listed = entries
+            .iter()
+            .map(|entry| Listed {
+                host: entry.host.clone(),
+                data_centre: entry.data_centre.clone(),
+                address: entry.address,
+                leaving: entry.leaving,
+            })
+            .collect::<Vec<_>>();
+        let events = self.membership.on_roster(self.node.clock.now(), &listed);
+        self.record(events);
+        let hosts = entries.iter().map(|entry| &entry.host);
+        self.node
+            .evidence
+            .update(|evidence| evidence.on_roster(hosts));
+        self.roster = entries
+            .into_iter()
+            .map(|entry| (entry.host.clone(), entry))
+            .collect();
+    }
+
+    fn on_heartbeat(&mut self, heartbeat: Heartbeat) {
+        self.node.recorder.merge(heartbeat.stamp);
+        let now = self.node.clock.now();
+        let event = self.membership.on_heartbeat(now, &heartbeat);
+        self.record(event);
+        let announced =
+            configuration::Message::Announced(heartbeat.host.clone(), heartbeat.version);
+        // The actor is gone only when the process stops.
+        let _ = self.configuration.send_message(announced);
+        let known = self.heard.get(&heartbeat.host);
+        self.changed |= known.is_none_or(|known| {
+            known.version != heartbeat.version
+                || known.roles != heartbeat.roles
+                || known.peer != heartbeat.peer
+        });
+        if known.is_none_or(|known| known.incarnation <= heartbeat.incarnation) {
+            self.heard.insert(heartbeat.host.clone(), heartbeat);
+        }
+    }
+
+    /// Sends heartbeats to the hosts that are due.
+    fn probe(&mut self, myself: &ActorRef<Message>) {
+        let hosts = self.membership.probes(self.node.clock.now(), random());
+        let known = hosts
+            .iter()
+            .filter_map(|host| self.peer_address(host))
+            .collect::<Vec<_>>();
+        // A host that starts while the platform is down knows only the peers in its settings.
+        let seeds = if self.membership.members().next().is_none() {
+            self.node.setting.host.seeds.clone()
+        } else {
+            Vec::new()
+        };
+        for address in known.into_iter().chain(seeds) {
+            self.exchange(myself, address);
+        }
+    }
+
+    fn peer_address(&self, host: &Host) -> Option<SocketAddr> {
+        let heard = self.heard.get(host).map(|heartbeat| heartbeat.peer);
+        heard.or_else(|| self.roster.get(host).map(|entry| entry.peer))
+    }
+
+    fn exchange(&self, myself: &ActorRef<Message>, address: SocketAddr) {
+        let node = Arc::clone(&self.node);
+        let myself = myself.clone();
+        tokio::spawn(async move {
+            let heartbeat = node.heartbeat();
+            let sent = node.clock.now();
+            let answer = transport::call::<_, Heartbeat>(
+                &*node.transport,
+                address,
+                "/peer/heartbeat",
+                &heartbeat,
+                TIMEOUT,
+            );
+            if let Ok(answer) = answer.await {
+                let answered = Message::Answered(sent, node.clock.now(), Box::new(answer));
+                // The actor is gone only when the process stops.
+                let _ = myself.send_message(answered);
+            }
+        });
+    }
+
+    fn record(&mut self, events: impl IntoIterator<Item = Kind>) {
+        for event in events {
+            self.changed = true;
+            if let Kind::Peer {
+                peer,
+                state: Reachability::Dead,
+            } = &event
+            {
+                self.heard.remove(peer);
+            }
+            self.node.recorder.record(event);
+        }
+    }
+
+    /// Publishes the present judgement for the directory and the operators.
+    fn publish(&self) {
+        let mut peers = self
+            .membership
+            .members()
+            .filter_map(|member| {
+                let heard = self.heard.get(&member.host);
+                let listed = self.roster.get(&member.host);
+                let peer = heard
+                    .map(|heard| heard.peer)
+                    .or(listed.map(|entry| entry.peer))?;
+                let operator = heard
+                    .map(|heard| heard.operator)
+                    .or(listed.map(|entry| entry.operator))?;
+                Some(Peer {
+                    host: member.host.clone(),
+                    data_centre: member.data_centre.clone(),
+                    address: member.address,
+                    peer,
+                    operator,
+                    state: member.state,
+                    version: heard.map(|heard| heard.version).unwrap_or_default(),
+                    load: heard.map_or(0.0, |heard| heard.load),
+                    roles: heard.map(|heard| heard.roles.clone()).unwrap_or_default(),
+                })
+            })
+            .collect::<Vec<_>>();
+        peers.sort_by(|a, b| a.host.cmp(&b.host));
+        if **self.node.peers.load() != peers {
+            self.node.peers.store(Arc::new(peers));
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/process/serve.rs
@@ -0,0 +1,106 @@
+//! Small HTTP server for the interfaces of peers and operators.
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use slog::{Logger, debug};
+use std::{convert::Infallible, fmt::Debug, sync::Arc, time::Duration};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::Semaphore,
+    time,
+};
+use tokio_util::sync::CancellationToken;
+
+/// Largest request body in bytes; an applied document is the largest message.
+const BODY_BYTES: usize = 8 * 1024 * 1024;
+/// Connections that are open at the same time.
+const CONNECTIONS: usize = 512;
+/// Longest time for a request's header to arrive, and for an idle connection.
+const HEADER_TIMEOUT: Duration = Duration::from_mins(1);
+/// Longest time for a request's body to arrive.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Pause after the listener failed, for example for lack of file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+
+/// Answers whole requests.
+#[async_trait]
+pub trait Handler: Debug + Send + Sync + 'static {
+    /// Answers one request whose body was read completely.
+    async fn handle(&self, request: Request<Bytes>) -> Response<Bytes>;
+}
+
+/// Serves until the token is cancelled; running requests end with their connections.
+pub async fn serve(
+    listener: TcpListener,
+    handler: Arc<dyn Handler>,
+    token: CancellationToken,
+    log: Logger,
+) {
+    let permits = Arc::new(Semaphore::new(CONNECTIONS));
+    loop {
+        let Ok(permit) = Arc::clone(&permits).acquire_owned().await else {
+            return;
+        };
+        let accepted = tokio::select! {
+            () = token.cancelled() => return,
+            accepted = listener.accept() => accepted,
+        };
+        let stream = match accepted {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                debug!(log, "serve: accept failed"; "error" => %error);
+                time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        let connection = connection(stream, Arc::clone(&handler), token.clone());
+        tokio::spawn(async move {
+            connection.await;
+            drop(permit);
+        });
+    }
+}
+
+async fn connection(stream: TcpStream, handler: Arc<dyn Handler>, token: CancellationToken) {
+    // Without this option an answer may wait for the acknowledgement of the previous packet.
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |request| {
+        let handler = Arc::clone(&handler);
+        async move { Ok::<_, Infallible>(answer(&*handler, request).await) }
+    });
+    let served = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEADER_TIMEOUT)
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::select! {
+        () = token.cancelled() => {}
+        // A broken connection concerns only its peer, which sees it itself.
+        _ = served => {}
+    }
+}
+
+async fn answer(handler: &dyn Handler, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    let (parts, body) = request.into_parts();
+    let collected = time::timeout(BODY_TIMEOUT, Limited::new(body, BODY_BYTES).collect()).await;
+    let response = match collected {
+        Ok(Ok(body)) => {
+            handler
+                .handle(Request::from_parts(parts, body.to_bytes()))
+                .await
+        }
+        Ok(Err(_)) => status(StatusCode::PAYLOAD_TOO_LARGE),
+        Err(_) => status(StatusCode::REQUEST_TIMEOUT),
+    };
+    response.map(Full::new)
+}
+
+/// Returns an answer without a body.
+pub fn status(status: StatusCode) -> Response<Bytes> {
+    let mut response = Response::new(Bytes::new());
+    *response.status_mut() = status;
+    response
+}
--- a/crates/daemon/src/process/transport.rs
+++ b/crates/daemon/src/process/transport.rs
@@ -78,7 +78,11 @@
     ) -> Result<Bytes> {
         let body = Bytes::from(body);
         let attempt = async {
-            let kept = self.idle.lock().remove(&to).filter(|sender| !sender.is_closed());
+            let kept = self
+                .idle
+                .lock()
+                .remove(&to)
+                .filter(|sender| !sender.is_closed());
             if let Some(sender) = kept
                 && let Ok(answer) = self.exchange(sender, to, path, body.clone()).await
             {
@@ -87,7 +91,10 @@
             let sender = connect(to).await?;
             self.exchange(sender, to, path, body).await
         };
-        time::timeout(timeout, attempt).await.ok().unwrap_or_else(|| TimeoutSnafu { to }.fail())
+        time::timeout(timeout, attempt)
+            .await
+            .ok()
+            .unwrap_or_else(|| TimeoutSnafu { to }.fail())
     }
 }
 
@@ -105,7 +112,10 @@
             .header(header::HOST, to.to_string())
             .body(Full::new(body))
             .context(RequestSnafu)?;
-        let response = sender.send_request(request).await.context(ExchangeSnafu { to })?;
+        let response = sender
+            .send_request(request)
+            .await
+            .context(ExchangeSnafu { to })?;
         let status = response.status();
         let answer = Limited::new(response.into_body(), ANSWER_BYTES)
             .collect()
@@ -113,7 +123,11 @@
             .map_err(|source| Error::Body { to, source })?
             .to_bytes();
         if !status.is_success() {
-            return StatusSnafu { to, status: status.as_u16() }.fail();
+            return StatusSnafu {
+                to,
+                status: status.as_u16(),
+            }
+            .fail();
         }
         self.idle.lock().insert(to, sender);
         Ok(answer)
@@ -123,8 +137,9 @@
 async fn connect(to: SocketAddr) -> Result<SendRequest<Full<Bytes>>> {
     let stream = TcpStream::connect(to).await.context(ConnectSnafu { to })?;
     stream.set_nodelay(true).context(ConnectSnafu { to })?;
-    let (sender, connection) =
-        http1::handshake(TokioIo::new(stream)).await.context(ExchangeSnafu { to })?;
+    let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        .await
+        .context(ExchangeSnafu { to })?;
     // The task ends when the sender is dropped or the peer closes the connection.
     tokio::spawn(connection);
     Ok(sender)
--- a/crates/daemon/src/request/gateway.rs
+++ b/crates/daemon/src/request/gateway.rs
@@ -196,6 +196,11 @@
         self.stopping.load(Ordering::Relaxed)
     }
 
+    /// Returns the number of requests that have not ended.
+    pub fn in_flight(&self) -> u32 {
+        u32::try_from(self.metrics.in_flight.get()).unwrap_or_default()
+    }
+
     /// Closes backend connections that have been idle for too long.
     pub fn sweep(&self) {
         if let Some(current) = self.current() {
