test(platform): check when a closed connection counts as sent

A reused connection that the peer closed before the first byte may be retried; no test told that case from a connection that was merely open.

The test closes a connection before and after the first byte. With the byte count replaced by a constant, it fails as intended.

--- a/crates/platform/src/http/link.rs
+++ b/crates/platform/src/http/link.rs
@@ -175,3 +175,6 @@
         Pin::new(&mut self.stream).poll_shutdown(context)
     }
 }
+
+#[cfg(test)]
+mod tests;
