fix(test-support): keep the port of a closed server and wait for its end

With several test processes at once, the port of a closed stand-in was given to another test. refused_connection_is_unavailable then reached the other server, whose counters were one too high (3 failures in 360 runs of the test file, six processes at a time). A server also could not be reopened right after a close, because its socket was closed later.

A server now keeps a bound socket that never listens, which reserves its port, and close waits until the listening socket and all connections are closed. A failed accept is followed by a short pause.

--- a/crates/platform/tests/http.rs
+++ b/crates/platform/tests/http.rs
@@ -146,7 +146,7 @@
 async fn refused_connection_is_unavailable() {
     let (server, client) = server().await;
     client.get(KEY).await.expect("the server listens");
-    server.close();
+    server.close().await;
     // A pooled connection may still seem open at its first use after the close.
     let _ = client.get(KEY).await;
     let write = client.put(KEY, b"x", Expect::Absent, None).await;
--- a/crates/test-support/src/backend/mod.rs
+++ b/crates/test-support/src/backend/mod.rs
@@ -13,7 +13,7 @@
 pub use body::byte_at;
 pub use record::{Counter, Outcome, Receipt};
 
-use crate::serve::{self, Listener};
+use crate::serve::{Listener, Reservation};
 use behaviour::History;
 use http::HeaderName;
 use parking_lot::Mutex;
@@ -37,7 +37,7 @@
 #[derive(Debug)]
 pub struct Server {
     shared: Arc<Shared>,
-    address: SocketAddr,
+    reservation: Reservation,
     listener: Mutex<Option<Listener>>,
 }
 
@@ -58,17 +58,18 @@
     /// Returns the error of binding the address.
     pub async fn bind(address: SocketAddr, behaviour: Behaviour) -> io::Result<Self> {
         let shared = Arc::new(Shared::new(behaviour));
-        let listener = listen(address, &shared).await?;
+        let reservation = Reservation::new(address)?;
+        let listener = listen(&reservation, &shared).await?;
         Ok(Self {
             shared,
-            address: listener.address,
+            reservation,
             listener: Mutex::new(Some(listener)),
         })
     }
 
     /// Returns the address that the server listens on.
     pub fn address(&self) -> SocketAddr {
-        self.address
+        self.reservation.address
     }
 
     /// Changes the behaviour from the next request on.
@@ -98,8 +99,13 @@
     }
 
     /// Closes the listening socket and all connections, so that new ones are refused.
-    pub fn close(&self) {
-        self.listener.lock().take();
+    ///
+    /// The port stays reserved for this server.
+    pub async fn close(&self) {
+        let listener = self.listener.lock().take();
+        if let Some(listener) = listener {
+            listener.close().await;
+        }
     }
 
     /// Listens again on the same address after [`Server::close`].
@@ -108,8 +114,8 @@
     ///
     /// Returns the error of binding the address.
     pub async fn reopen(&self) -> io::Result<()> {
-        self.close();
-        let listener = listen(self.address, &self.shared).await?;
+        self.close().await;
+        let listener = listen(&self.reservation, &self.shared).await?;
         *self.listener.lock() = Some(listener);
         Ok(())
     }
@@ -135,12 +141,12 @@
     }
 }
 
-async fn listen(address: SocketAddr, shared: &Arc<Shared>) -> io::Result<Listener> {
+async fn listen(reservation: &Reservation, shared: &Arc<Shared>) -> io::Result<Listener> {
     let shared = Arc::clone(shared);
-    Listener::bind(address, move |stream, stop| {
+    Listener::bind(reservation, move |stream, listener| {
         let shared = Arc::clone(&shared);
         let connection = shared.connect();
-        serve::connection(stream, stop, move |request| {
+        listener.serve(stream, move |request| {
             answer::answer(Arc::clone(&shared), Arc::clone(&connection), request)
         });
     })
--- a/crates/test-support/src/platform.rs
+++ b/crates/test-support/src/platform.rs
@@ -8,7 +8,7 @@
 use crate::{
     fault::{Counter, Each, Endpoint, Fault},
     memory::{self, Broken, Effect, Refused, Write},
-    serve::{self, Hangup, Listener},
+    serve::{Hangup, Listener, Reservation},
 };
 use azurenotch_platform::{
     http::{FAILED, FAILED_FENCE, FENCE, Report},
@@ -31,7 +31,7 @@
 #[derive(Debug)]
 pub struct Server {
     platform: memory::Platform,
-    address: SocketAddr,
+    reservation: Reservation,
     listener: Mutex<Option<Listener>>,
 }
 
@@ -51,17 +51,18 @@
     ///
     /// Returns the error of binding the address.
     pub async fn bind(address: SocketAddr, platform: memory::Platform) -> io::Result<Self> {
-        let listener = listen(address, &platform).await?;
+        let reservation = Reservation::new(address)?;
+        let listener = listen(&reservation, &platform).await?;
         Ok(Self {
             platform,
-            address: listener.address,
+            reservation,
             listener: Mutex::new(Some(listener)),
         })
     }
 
     /// Returns the address that the server listens on.
     pub fn address(&self) -> SocketAddr {
-        self.address
+        self.reservation.address
     }
 
     /// Returns the platform in memory behind the server, which shares its faults.
@@ -90,8 +91,13 @@
     }
 
     /// Closes the listening socket and all connections, so that new ones are refused.
-    pub fn close(&self) {
-        self.listener.lock().take();
+    ///
+    /// The port stays reserved for this server.
+    pub async fn close(&self) {
+        let listener = self.listener.lock().take();
+        if let Some(listener) = listener {
+            listener.close().await;
+        }
     }
 
     /// Listens again on the same address after [`Server::close`].
@@ -100,20 +106,18 @@
     ///
     /// Returns the error of binding the address.
     pub async fn reopen(&self) -> io::Result<()> {
-        self.close();
-        let listener = listen(self.address, &self.platform).await?;
+        self.close().await;
+        let listener = listen(&self.reservation, &self.platform).await?;
         *self.listener.lock() = Some(listener);
         Ok(())
     }
 }
 
-async fn listen(address: SocketAddr, platform: &memory::Platform) -> io::Result<Listener> {
+async fn listen(reservation: &Reservation, platform: &memory::Platform) -> io::Result<Listener> {
     let platform = platform.clone();
-    Listener::bind(address, move |stream, stop| {
+    Listener::bind(reservation, move |stream, listener| {
         let platform = platform.clone();
-        serve::connection(stream, stop, move |request| {
-            answer(platform.clone(), request)
-        });
+        listener.serve(stream, move |request| answer(platform.clone(), request));
     })
     .await
 }
--- a/crates/test-support/src/serve.rs
+++ b/crates/test-support/src/serve.rs
@@ -6,41 +6,112 @@
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
 use snafu::Snafu;
-use std::{io, net::SocketAddr, sync::Arc};
-use tokio::net::{TcpListener, TcpStream};
-use tokio_util::sync::CancellationToken;
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+use tokio::{
+    net::{TcpListener, TcpSocket, TcpStream},
+    time,
+};
+use tokio_util::{sync::CancellationToken, task::TaskTracker};
+
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
 /// Ends a connection without an answer.
 #[derive(Debug, Snafu)]
 #[snafu(display("connection is closed without an answer"))]
 pub(crate) struct Hangup;
 
-/// Listening socket whose connections end when it is dropped.
+/// Address that stays reserved for a server while its listening socket is closed.
+///
+/// Without it, the operating system gives the port of a closed server to another test.
 #[derive(Debug)]
-pub(crate) struct Listener {
+pub(crate) struct Reservation {
     pub(crate) address: SocketAddr,
-    pub(crate) stop: CancellationToken,
+    _socket: TcpSocket,
+}
+
+impl Reservation {
+    /// Binds a socket that never listens, next to which listening sockets can be bound.
+    pub(crate) fn new(address: SocketAddr) -> io::Result<Self> {
+        let socket = if address.is_ipv4() {
+            TcpSocket::new_v4()?
+        } else {
+            TcpSocket::new_v6()?
+        };
+        socket.set_reuseaddr(true)?;
+        socket.bind(address)?;
+        Ok(Self {
+            address: socket.local_addr()?,
+            _socket: socket,
+        })
+    }
+}
+
+/// Listening socket with its connections; they end when it is dropped.
+#[derive(Debug)]
+pub(crate) struct Listener {
+    stop: CancellationToken,
+    tasks: TaskTracker,
 }
 
 impl Listener {
-    /// Binds the address and calls `connect` for each connection.
-    pub(crate) async fn bind<F>(address: SocketAddr, connect: F) -> io::Result<Self>
+    /// Binds a reserved address and calls `connect` for each connection.
+    pub(crate) async fn bind<F>(reservation: &Reservation, connect: F) -> io::Result<Self>
     where
-        F: Fn(TcpStream, CancellationToken) + Send + Sync + 'static,
+        F: Fn(TcpStream, &Self) + Send + Sync + 'static,
     {
-        let socket = TcpListener::bind(address).await?;
-        let address = socket.local_addr()?;
-        let stop = CancellationToken::new();
-        let stopped = stop.clone();
-        tokio::spawn(stop.clone().run_until_cancelled_owned(async move {
+        let socket = TcpListener::bind(reservation.address).await?;
+        let listener = Self {
+            stop: CancellationToken::new(),
+            tasks: TaskTracker::new(),
+        };
+        let inner = Self {
+            stop: listener.stop.clone(),
+            tasks: listener.tasks.clone(),
+        };
+        listener.spawn(async move {
             loop {
-                // A failed accept concerns one connection only.
-                if let Ok((stream, _)) = socket.accept().await {
-                    connect(stream, stopped.clone());
+                match socket.accept().await {
+                    Ok((stream, _)) => connect(stream, &inner),
+                    // Accepting fails at once while the process has no free descriptor.
+                    Err(_) => time::sleep(ACCEPT_PAUSE).await,
                 }
             }
-        }));
-        Ok(Self { address, stop })
+        });
+        Ok(listener)
+    }
+
+    /// Serves one connection until it ends or the listener is closed.
+    pub(crate) fn serve<S, F, B>(&self, stream: TcpStream, answer: S)
+    where
+        S: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
+        F: Future<Output = Result<Response<B>, Hangup>> + Send + 'static,
+        B: Body<Data = Bytes> + Send + 'static,
+        B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+    {
+        let answer = Arc::new(answer);
+        self.spawn(async move {
+            // Small answers on kept connections must not wait for acknowledgements.
+            let _ = stream.set_nodelay(true);
+            let service = service_fn(move |request| answer(request));
+            // A connection that fails is the peer's concern.
+            let _ = http1::Builder::new()
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+        });
+    }
+
+    /// Closes the listening socket and all connections, and waits until they are closed.
+    pub(crate) async fn close(self) {
+        self.stop.cancel();
+        self.tasks.close();
+        self.tasks.wait().await;
+    }
+
+    fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
+        let stop = self.stop.clone();
+        self.tasks.spawn(async move {
+            stop.run_until_cancelled_owned(task).await;
+        });
     }
 }
 
@@ -49,23 +120,3 @@
         self.stop.cancel();
     }
 }
-
-/// Serves one connection until it ends or `stop` is cancelled.
-pub(crate) fn connection<S, F, B>(stream: TcpStream, stop: CancellationToken, answer: S)
-where
-    S: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
-    F: Future<Output = Result<Response<B>, Hangup>> + Send + 'static,
-    B: Body<Data = Bytes> + Send + 'static,
-    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
-{
-    let answer = Arc::new(answer);
-    tokio::spawn(stop.run_until_cancelled_owned(async move {
-        // Small answers on kept connections must not wait for acknowledgements.
-        let _ = stream.set_nodelay(true);
-        let service = service_fn(move |request| answer(request));
-        // A connection that fails is the peer's concern.
-        let _ = http1::Builder::new()
-            .serve_connection(TokioIo::new(stream), service)
-            .await;
-    }));
-}
--- a/crates/test-support/tests/platform.rs
+++ b/crates/test-support/tests/platform.rs
@@ -8,8 +8,9 @@
 };
 use bytes::Bytes;
 use http::{Request, StatusCode};
-use std::time::Duration;
+use std::{io::ErrorKind, time::Duration};
 use test_case::test_case;
+use tokio::net::TcpSocket;
 
 async fn put(client: &mut Client, path: &str, body: &str) -> StatusCode {
     let request = Request::builder()
@@ -93,3 +94,20 @@
     let client = Platform::new(server.address());
     assert_eq!(client.list().await.expect("it answers"), [entry]);
 }
+
+// Guards against the port of a closed server that is given to another test, whose calls and
+// counters then mix with those of this one.
+#[tokio::test]
+async fn closed_server_keeps_port() {
+    let server = Server::start(1).await.expect("a port is free");
+    server.close().await;
+    let other = TcpSocket::new_v4().expect("a socket is free");
+    let taken = other.bind(server.address());
+    assert_eq!(
+        taken.expect_err("it is reserved").kind(),
+        ErrorKind::AddrInUse
+    );
+    server.reopen().await.expect("the port is reserved");
+    let mut client = Client::new(server.address());
+    client.get("/roster").await.expect("it answers");
+}
