--- a/crates/test-support/tests/backend.rs
+++ b/crates/test-support/tests/backend.rs
@@ -169,24 +169,31 @@
     silent.abort();
 }
 
+fn cold(requests: u64, time: Duration) -> Cold {
+    Cold {
+        requests,
+        time,
+        extra: LONG,
+    }
+}
+
 // Guards against latency, a cold start or a deadline without effect.
-#[test_case(Duration::ZERO, LONG, None, StatusCode::OK; "latency")]
-#[test_case(LONG, Duration::ZERO, None, StatusCode::OK; "cold start")]
-#[test_case(Duration::ZERO, LONG * 2, Some(LONG), StatusCode::GATEWAY_TIMEOUT; "deadline")]
+#[test_case(cold(0, Duration::ZERO), LONG, None, StatusCode::OK; "latency")]
+#[test_case(cold(1, Duration::ZERO), Duration::ZERO, None, StatusCode::OK; "cold first request")]
+#[test_case(cold(0, LONG), Duration::ZERO, None, StatusCode::OK; "cold first seconds")]
+#[test_case(
+    cold(0, Duration::ZERO), LONG * 2, Some(LONG), StatusCode::GATEWAY_TIMEOUT; "deadline"
+)]
 #[tokio::test]
 async fn answer_takes_time(
-    extra: Duration,
+    cold: Cold,
     latency: Duration,
     deadline: Option<Duration>,
     expected: StatusCode,
 ) {
     let (server, mut client) = start(Behaviour {
         latency,
-        cold: Cold {
-            requests: 1,
-            time: Duration::ZERO,
-            extra,
-        },
+        cold,
         ..Behaviour::default()
     })
     .await;
