feat(daemon): choose backend servers with core's balance

The first data path chose the server with the fewest requests in flight and forgot its counts when the list changed. It now drives core::version::balance, which is kept from version to version, and looks up servers in the newest configuration for each attempt.

Performance was not measured.

--- a/crates/daemon/src/request/forward.rs
+++ b/crates/daemon/src/request/forward.rs
@@ -1,18 +1,19 @@
 //! Sends one request to a backend server, again to another one if that is harmless.
 
 use crate::{
-    connection::pool::{self, Failed, Lease, Need},
+    connection::pool::{self, Failed, Lease, Need, Pool},
     request::{
         body::{Body, Download},
-        clock::Clock,
         gateway::{Gateway, Held, Result},
-        select::Verdict,
         shift::Observation,
         upload::{self, Source, Upload},
     },
-    version::current::Group,
+    version::current::Place,
+};
+use azurenotch_core::{
+    request::{access::Grant, deadline::Deadline, header, retry::Attempt},
+    version::balance::Verdict,
 };
-use azurenotch_core::request::{access::Grant, deadline::Deadline, header, retry::Attempt};
 use azurenotch_wire::{
     id::Release,
     refusal::{self, Outcome, Reason, Refusal},
@@ -35,7 +36,6 @@
     pub(crate) gateway: &'a Gateway,
     pub(crate) grant: &'a Grant,
     pub(crate) release: Release,
-    pub(crate) group: Arc<Group>,
     pub(crate) head: Parts,
     pub(crate) upload: Source,
     pub(crate) deadline: Deadline,
@@ -48,7 +48,7 @@
 struct Answer {
     response: Response<Incoming>,
     lease: Lease,
-    running: Running,
+    place: Place,
 }
 
 /// Why an attempt got no answer.
@@ -62,24 +62,6 @@
     verdict: Verdict,
 }
 
-/// A running attempt, counted at the choice of backend servers until it is dropped.
-#[derive(Debug)]
-struct Running {
-    group: Arc<Group>,
-    clock: Arc<dyn Clock>,
-    server: usize,
-    verdict: Verdict,
-    latency: Duration,
-}
-
-impl Drop for Running {
-    fn drop(&mut self) {
-        let now = self.clock.now();
-        let mut select = self.group.select().lock();
-        select.end(self.server, now, self.verdict, self.latency);
-    }
-}
-
 /// Sends a request until it is answered or must not be sent again.
 pub(crate) async fn run(mut job: Job<'_>) -> Result<Response<Body>> {
     prepare(&mut job)?;
@@ -89,11 +71,14 @@
     let mut worst = Refusal::not_run(Reason::NoServer);
     loop {
         let now = job.gateway.clock.now();
-        let Some(server) = job.group.select().lock().pick(now, &tried) else {
+        let Some((place, pool)) = job.pick(now, &tried) else {
+            if worst.outcome == Outcome::NotRun && tried.is_empty() {
+                worst = Refusal::not_run(Reason::Overload).retry_after(BUSY_RETRY);
+            }
             break;
         };
-        tried.push(server);
-        let result = job.attempt(server).await;
+        tried.push(place.index());
+        let result = job.attempt(place, &pool).await;
         waited += job.gateway.clock.now().since(now);
         match result {
             Ok(answer) if is_shed(&answer.response) => {
@@ -145,46 +130,53 @@
 }
 
 impl Job<'_> {
+    /// Chooses a backend server of the newest configuration.
+    fn pick(&self, now: Instant, tried: &[usize]) -> Option<(Place, Arc<Pool>)> {
+        let current = self.gateway.current()?;
+        let group = current.group(&self.grant.route.service)?;
+        let place = group.pick(now, &self.release, tried)?;
+        let pool = current.pool(place.server()).map(Arc::clone)?;
+        Some((place, pool))
+    }
+
     /// Makes one attempt at a backend server.
-    async fn attempt(&self, server: usize) -> std::result::Result<Answer, Failure> {
+    async fn attempt(
+        &self,
+        mut place: Place,
+        pool: &Arc<Pool>,
+    ) -> std::result::Result<Answer, Failure> {
         let started = self.gateway.clock.now();
-        self.group.select().lock().begin(server);
-        let mut running = Running {
-            group: Arc::clone(&self.group),
-            clock: Arc::clone(&self.gateway.clock),
-            server,
-            verdict: Verdict::Neutral,
-            latency: Duration::ZERO,
-        };
-        let result = self.exchange(server).await;
-        running.latency = self.gateway.clock.now().since(started);
-        let (verdict, failed) = match &result {
-            Ok((response, _)) if response.status().is_server_error() => (Verdict::Failed, true),
-            Ok(_) => (Verdict::Answered, false),
-            Err(failure) => (failure.verdict, failure.verdict == Verdict::Failed),
+        let result = self.exchange(pool).await;
+        let now = self.gateway.clock.now();
+        let latency = now.since(started);
+        let verdict = match &result {
+            Ok((response, _)) if is_shed(response) => Verdict::Shed,
+            Ok((response, _)) if response.status().is_server_error() => Verdict::Failed,
+            Ok(_) => Verdict::Answered,
+            Err(failure) => failure.verdict,
         };
-        running.verdict = verdict;
-        if verdict != Verdict::Neutral {
-            self.record(failed, running.latency);
+        place.end(now, verdict, latency);
+        if verdict != Verdict::Abandoned {
+            self.record(verdict != Verdict::Answered, latency);
         }
         result.map(|(response, lease)| Answer {
             response,
             lease,
-            running,
+            place,
         })
     }
 
     /// Sends the request once and checks the header of the answer.
     async fn exchange(
         &self,
-        server: usize,
+        pool: &Arc<Pool>,
     ) -> std::result::Result<(Response<Incoming>, Lease), Failure> {
         let clock = &self.gateway.clock;
         let withdrawn = self.withdrawn();
         let mut lease = select! {
             biased;
             () = withdrawn.cancelled() => return Err(Failure::withdrawn(false)),
-            lease = self.lease(server) => lease?,
+            lease = self.lease(pool) => lease?,
         };
         let now = clock.now();
         let left = self.deadline.left(now).ok_or_else(Failure::late)?;
@@ -206,7 +198,7 @@
         Ok((response, lease))
     }
 
-    async fn lease(&self, server: usize) -> std::result::Result<Lease, Failure> {
+    async fn lease(&self, pool: &Arc<Pool>) -> std::result::Result<Lease, Failure> {
         let now = self.gateway.clock.now();
         let left = self.deadline.left(now).ok_or_else(Failure::late)?;
         let need = if self.grant.route.idempotent {
@@ -214,7 +206,6 @@
         } else {
             Need::Proven
         };
-        let pool = &self.group.servers()[server].pool;
         pool.lease(now, need, left).await.map_err(|error| {
             if self.deadline.left(self.gateway.clock.now()).is_none() {
                 Failure::late()
@@ -274,7 +265,7 @@
                 refusal: Refusal::not_run(Reason::NoServer),
                 sent: false,
                 elsewhere: true,
-                verdict: Verdict::Neutral,
+                verdict: Verdict::Abandoned,
             },
             (None, Failed::Sent(_)) => Failure::server(Reason::LostServer),
         }
@@ -300,7 +291,7 @@
         head.headers
             .append(http::header::VIA, HeaderValue::from_static(VIA));
         let withdrawn = self.held.transfer.as_ref().map(|it| it.token().clone());
-        let guards = (answer.running, self.held);
+        let guards = (answer.place, self.held);
         let body = Download::new(body, answer.lease, self.upload, withdrawn, guards);
         Response::from_parts(head, Body::Stream(Box::new(body)))
     }
@@ -321,7 +312,7 @@
         let (refusal, verdict) = match error {
             pool::Error::Busy { .. } => (
                 Refusal::not_run(Reason::Overload).retry_after(BUSY_RETRY),
-                Verdict::Neutral,
+                Verdict::Abandoned,
             ),
             pool::Error::Connect { .. } | pool::Error::Slow { .. } | pool::Error::SetUp { .. } => {
                 (Refusal::not_run(Reason::NoServer), Verdict::Failed)
@@ -341,7 +332,7 @@
             refusal: Refusal::not_run(Reason::Timeout),
             sent: false,
             elsewhere: false,
-            verdict: Verdict::Neutral,
+            verdict: Verdict::Abandoned,
         }
     }
 
@@ -355,7 +346,7 @@
             refusal,
             sent,
             elsewhere: false,
-            verdict: Verdict::Neutral,
+            verdict: Verdict::Abandoned,
         }
     }
 
@@ -369,7 +360,7 @@
             refusal: Refusal::unknown(reason),
             sent: true,
             elsewhere: false,
-            verdict: Verdict::Neutral,
+            verdict: Verdict::Abandoned,
         }
     }
 }
--- a/crates/daemon/src/request/gateway.rs
+++ b/crates/daemon/src/request/gateway.rs
@@ -14,7 +14,7 @@
         transfer::{Transfer, Transfers},
         upload::Source,
     },
-    version::current::{Current, Group},
+    version::current::Current,
 };
 use arc_swap::ArcSwapOption;
 use azurenotch_config::snapshot::Snapshot;
@@ -56,6 +56,7 @@
     /// Prefix of request ids, unique to this run of the host.
     prefix: String,
     here: DataCentre,
+    seed: u64,
     counter: AtomicU64,
     current: ArcSwapOption<Current>,
     adoption: Mutex<()>,
@@ -102,6 +103,7 @@
         Ok(Self {
             prefix: format!("{host}-{:x}", incarnation.0),
             here,
+            seed: incarnation.0,
             counter: AtomicU64::new(0),
             current: ArcSwapOption::empty(),
             adoption: Mutex::default(),
@@ -166,8 +168,15 @@
         {
             return false;
         }
-        self.admission.adopt(self.clock.now(), &snapshot);
-        let current = Arc::new(Current::new(snapshot, &self.here, previous.as_deref()));
+        let now = self.clock.now();
+        self.admission.adopt(now, &snapshot);
+        let current = Arc::new(Current::new(
+            now,
+            snapshot,
+            &self.here,
+            previous.as_deref(),
+            self.seed,
+        ));
         self.current.store(Some(Arc::clone(&current)));
         let ended = self
             .transfers
@@ -274,14 +283,13 @@
             return Err(Refusal::not_run(Reason::BodyTooLarge));
         }
         let guards = self.admit(&current, &grant)?;
-        let (release, group) = self.group(&current, &grant)?;
+        let release = self.release(&current, &grant)?;
         self.retry.lock().begin();
         let upload = Source::new(body, grant.route.body_limit);
         let job = Job {
             gateway: self,
             grant: &grant,
             release,
-            group,
             head,
             upload,
             deadline,
@@ -350,14 +358,13 @@
         }
     }
 
-    fn group(&self, current: &Current, grant: &Grant) -> Result<(Release, Arc<Group>)> {
+    fn release(&self, current: &Current, grant: &Grant) -> Result<Release> {
         let refusal = Refusal::not_run(Reason::NoServer);
         let now = self.clock.now();
         let release = self.shift.choose(now, current.snapshot(), grant);
-        let release = release.ok_or_else(|| refusal.clone())?;
-        let group = current.group(&grant.route.service, &release);
-        let group = group.map(Arc::clone).ok_or(refusal)?;
-        Ok((release, group))
+        release
+            .filter(|release| current.has_server(&grant.route.service, release))
+            .ok_or(refusal)
     }
 }
 
--- a/crates/daemon/src/request/mod.rs
+++ b/crates/daemon/src/request/mod.rs
@@ -9,7 +9,6 @@
 pub mod gateway;
 pub mod metrics;
 pub mod refuse;
-pub mod select;
 pub mod shift;
 pub mod transfer;
 pub mod upload;
--- a/crates/daemon/src/version/current.rs
+++ b/crates/daemon/src/version/current.rs
@@ -1,101 +1,81 @@
 //! What one configuration version gives a request.
 
-use crate::{
-    connection::pool::Pool,
-    request::select::{LeastInFlight, Select},
-};
+use crate::connection::pool::Pool;
 use azurenotch_config::{
     document::{Document, Server},
     snapshot::Snapshot,
 };
-use azurenotch_core::request::access::Access;
+use azurenotch_core::{
+    request::access::Access,
+    version::balance::{Balance, Candidate, Query, Tier, Verdict},
+};
 use azurenotch_wire::{
     Map,
     id::{DataCentre, Release, Server as Name, Service},
     time::Instant,
 };
 use parking_lot::Mutex;
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 /// What one configuration version gives a request.
 #[derive(Debug)]
 pub struct Current {
     snapshot: Arc<Snapshot>,
     access: Access,
-    groups: Map<Service, Map<Release, Arc<Group>>>,
+    pools: Map<Name, Arc<Pool>>,
+    groups: Map<Service, Arc<Group>>,
 }
 
-/// Backend servers of one service and version.
+/// Choice between the backend servers of one service, kept from version to version.
 #[derive(Debug)]
 pub struct Group {
-    servers: Vec<Backend>,
-    select: Mutex<Box<dyn Select>>,
-}
-
-/// A backend server with its connections.
-#[derive(Debug, Clone)]
-pub struct Backend {
-    /// Name of the backend server.
-    pub name: Name,
-    /// Its settings.
-    pub server: Server,
-    /// How far away it is.
-    pub tier: Tier,
-    /// Connections to it.
-    pub pool: Arc<Pool>,
+    balance: Mutex<Balance>,
 }
 
-/// Distance of a backend server; closer ones come first.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Tier {
-    /// In the host's data centre.
-    DataCentre,
-    /// In another data centre of the host's region.
-    Region,
-    /// In another region.
-    Elsewhere,
+/// A running attempt at a backend server, counted until it is dropped.
+#[derive(Debug)]
+pub struct Place {
+    group: Arc<Group>,
+    index: usize,
+    server: Name,
+    ended: Option<(Instant, Verdict, Duration)>,
 }
 
 impl Current {
     /// Prepares a snapshot for a host in data centre `here`.
     ///
-    /// Connections and counts of backend servers that `previous` also has are kept.
-    pub fn new(snapshot: Arc<Snapshot>, here: &DataCentre, previous: Option<&Self>) -> Self {
+    /// Connections, counts and measurements of backend servers that `previous` also has are kept.
+    pub fn new(
+        now: Instant,
+        snapshot: Arc<Snapshot>,
+        here: &DataCentre,
+        previous: Option<&Self>,
+        seed: u64,
+    ) -> Self {
         let document = &snapshot.document;
-        let mut members = Map::<Service, Map<Release, Vec<Backend>>>::default();
+        let pools = document
+            .servers
+            .iter()
+            .map(|(name, server)| (name.clone(), pool(document, name, server, previous)))
+            .collect();
+        let mut candidates = Map::<Service, Vec<Candidate>>::default();
         for (name, server) in &document.servers {
-            if snapshot.drains.contains(name) {
-                continue;
-            }
-            let backend = Backend {
-                name: name.clone(),
-                server: server.clone(),
-                tier: tier(document, here, &server.data_centre),
-                pool: pool(document, name, server, previous),
-            };
-            let releases = members.entry(server.service.clone()).or_default();
-            releases
-                .entry(server.release.clone())
-                .or_default()
-                .push(backend);
+            let candidate = candidate(&snapshot, here, name, server, previous);
+            let known = candidates.entry(server.service.clone()).or_default();
+            known.push(candidate);
         }
-        let groups = members
+        let groups = candidates
             .into_iter()
-            .map(|(service, releases)| {
-                let releases = releases
-                    .into_iter()
-                    .map(|(release, servers)| {
-                        let known = previous.and_then(|it| it.group(&service, &release));
-                        let group = Group::new(servers, known);
-                        (release, group)
-                    })
-                    .collect();
-                (service, releases)
+            .map(|(service, candidates)| {
+                let known = previous.and_then(|it| it.groups.get(&service));
+                let group = Group::new(now, &candidates, known, seed);
+                (service, group)
             })
             .collect();
         Self {
             access: Access::new(&snapshot),
             snapshot,
+            pools,
             groups,
         }
     }
@@ -110,54 +90,94 @@
         &self.access
     }
 
-    /// Returns the backend servers of a service and version.
-    pub fn group(&self, service: &Service, release: &Release) -> Option<&Arc<Group>> {
-        self.groups.get(service)?.get(release)
+    /// Returns the connections to a backend server.
+    pub fn pool(&self, server: &Name) -> Option<&Arc<Pool>> {
+        self.pools.get(server)
+    }
+
+    /// Returns the choice between the backend servers of a service.
+    pub fn group(&self, service: &Service) -> Option<&Arc<Group>> {
+        self.groups.get(service)
+    }
+
+    /// Returns whether a backend server of this service and version may take new work.
+    pub fn has_server(&self, service: &Service, release: &Release) -> bool {
+        let servers = &self.snapshot.document.servers;
+        servers.iter().any(|(name, server)| {
+            server.service == *service
+                && server.release == *release
+                && !self.snapshot.drains.contains(name)
+        })
     }
 
     /// Closes connections that have been idle for too long.
     pub fn sweep(&self, now: Instant) {
-        let groups = self.groups.values().flat_map(Map::values);
-        for backend in groups.flat_map(|group| &group.servers) {
-            backend.pool.sweep(now);
+        for pool in self.pools.values() {
+            pool.sweep(now);
         }
     }
-
-    fn backend(&self, name: &Name, server: &Server) -> Option<&Backend> {
-        let group = self.group(&server.service, &server.release)?;
-        group.servers.iter().find(|backend| backend.name == *name)
-    }
 }
 
 impl Group {
-    fn new(servers: Vec<Backend>, known: Option<&Arc<Self>>) -> Arc<Self> {
-        if let Some(known) = known
-            && known.has(&servers)
-        {
+    fn new(
+        now: Instant,
+        candidates: &[Candidate],
+        known: Option<&Arc<Self>>,
+        seed: u64,
+    ) -> Arc<Self> {
+        if let Some(known) = known {
+            known.balance.lock().update(now, candidates);
             return Arc::clone(known);
         }
-        let select = LeastInFlight::new(servers.len());
         Arc::new(Self {
-            servers,
-            select: Mutex::new(Box::new(select)),
+            balance: Mutex::new(Balance::new(candidates, seed)),
+        })
+    }
+
+    /// Chooses a backend server and counts an attempt there.
+    ///
+    /// Returns `None` if no backend server has a free slot for this host.
+    pub fn pick(
+        self: &Arc<Self>,
+        now: Instant,
+        release: &Release,
+        excluded: &[usize],
+    ) -> Option<Place> {
+        let mut balance = self.balance.lock();
+        let index = balance.pick(now, &Query { release, excluded })?;
+        balance.begin(index);
+        Some(Place {
+            group: Arc::clone(self),
+            index,
+            server: balance.candidate(index).server.clone(),
+            ended: None,
         })
     }
+}
 
-    /// Returns the backend servers.
-    pub fn servers(&self) -> &[Backend] {
-        &self.servers
+impl Place {
+    /// Returns the position of the backend server, to exclude it from further attempts.
+    pub fn index(&self) -> usize {
+        self.index
     }
 
-    /// Returns the choice among the backend servers.
-    pub fn select(&self) -> &Mutex<Box<dyn Select>> {
-        &self.select
+    /// Returns the name of the backend server.
+    pub fn server(&self) -> &Name {
+        &self.server
     }
 
-    fn has(&self, servers: &[Backend]) -> bool {
-        self.servers.len() == servers.len()
-            && self.servers.iter().zip(servers).all(|(left, right)| {
-                left.name == right.name && left.server == right.server && left.tier == right.tier
-            })
+    /// Sets what the attempt says about the backend server.
+    pub fn end(&mut self, now: Instant, verdict: Verdict, latency: Duration) {
+        self.ended = Some((now, verdict, latency));
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let unknown = (Instant::ZERO, Verdict::Abandoned, Duration::ZERO);
+        let (now, verdict, latency) = self.ended.unwrap_or(unknown);
+        let mut balance = self.group.balance.lock();
+        balance.end(self.index, now, verdict, latency);
     }
 }
 
@@ -169,22 +189,41 @@
 ) -> Arc<Pool> {
     let share = (server.connections / document.fleet.slots.max(1)).max(1) as usize;
     let known = previous
-        .and_then(|it| it.backend(name, server))
-        .filter(|backend| backend.pool.address() == server.address);
-    if let Some(backend) = known {
-        backend.pool.set_limit(share);
-        return Arc::clone(&backend.pool);
+        .and_then(|it| it.pool(name))
+        .filter(|pool| pool.address() == server.address);
+    if let Some(pool) = known {
+        pool.set_limit(share);
+        return Arc::clone(pool);
     }
     Arc::new(Pool::new(server.address, share))
 }
 
+fn candidate(
+    snapshot: &Snapshot,
+    here: &DataCentre,
+    name: &Name,
+    server: &Server,
+    previous: Option<&Current>,
+) -> Candidate {
+    let document = &snapshot.document;
+    Candidate {
+        server: name.clone(),
+        release: server.release.clone(),
+        tier: tier(document, here, &server.data_centre),
+        slots: server.slots.div_ceil(document.fleet.slots.max(1)),
+        draining: snapshot.drains.contains(name),
+        // At the start of a host its backend servers have long been serving other hosts.
+        cold: previous.is_some_and(|it| it.pool(name).is_none()),
+    }
+}
+
 fn tier(document: &Document, here: &DataCentre, there: &DataCentre) -> Tier {
     let region = |name| document.data_centres.get(name);
     if here == there {
-        Tier::DataCentre
+        Tier::Local
     } else if region(here).is_some() && region(here) == region(there) {
         Tier::Region
     } else {
-        Tier::Elsewhere
+        Tier::Remote
     }
 }
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -40,6 +40,8 @@
 
 /// Key that the snapshot accepts.
 pub const KEY: &str = "good-key";
+/// Time after which a workspace's bucket, which starts empty, admits requests.
+pub const FILL: Duration = Duration::from_millis(1);
 /// Largest body that the routes take.
 pub const BODY_LIMIT: u64 = 1024 * 1024;
 /// Timeout of the routes.
@@ -88,7 +90,8 @@
     pub seen: UnboundedReceiver<Seen>,
     /// Bytes of bodies that it wrote.
     pub written: Arc<AtomicUsize>,
-    /// One event for each connection that the host closed.
+    connections: Arc<AtomicUsize>,
+    /// One event for each connection that ended.
     pub closed: UnboundedReceiver<()>,
 }
 
@@ -104,8 +107,11 @@
         let written = Arc::new(AtomicUsize::new(0));
         let script = Arc::new(script) as Script;
         let count = Arc::clone(&written);
+        let connections = Arc::new(AtomicUsize::new(0));
+        let accepted = Arc::clone(&connections);
         tokio::spawn(async move {
             while let Ok((stream, _)) = socket.accept().await {
+                accepted.fetch_add(1, Ordering::SeqCst);
                 let (sender, closing) = (sender.clone(), closing.clone());
                 let (script, count) = (Arc::clone(&script), Arc::clone(&count));
                 tokio::spawn(async move {
@@ -119,10 +125,16 @@
             address,
             seen,
             written,
+            connections,
             closed,
         }
     }
 
+    /// Returns the number of connections accepted so far.
+    pub fn connections(&self) -> usize {
+        self.connections.load(Ordering::SeqCst)
+    }
+
     /// Returns the requests seen so far.
     pub fn drain(&mut self) -> Vec<Seen> {
         std::iter::from_fn(|| self.seen.try_recv().ok()).collect()
@@ -454,3 +466,27 @@
         ..Snapshot::default()
     }
 }
+
+/// Keeps paused time from advancing on its own while it exists, so that only a test moves it.
+#[derive(Debug)]
+pub struct Frozen {
+    _release: std::sync::mpsc::Sender<()>,
+}
+
+impl Frozen {
+    /// Freezes paused time: the runtime does not skip idle time while a blocking task runs.
+    pub fn new() -> Self {
+        let (release, wait) = std::sync::mpsc::channel::<()>();
+        tokio::task::spawn_blocking(move || wait.recv());
+        Self { _release: release }
+    }
+}
+
+/// Waits until everything that can happen without the passing of time has happened.
+///
+/// Time has to be paused: each sleep then ends only after the runtime has become idle.
+pub async fn settle() {
+    for _ in 0..100 {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+}
