--- /dev/null
+++ b/crates/daemon/examples/overhead.rs
@@ -0,0 +1,218 @@
+//! Latency of requests through a gateway compared with requests straight to a backend server.
+//!
+//! Both kinds alternate in the same run, each on connections that are kept open. Run with
+//! `cargo run --release -p azurenotch-daemon --example overhead -- [SEED]`.
+
+use azurenotch_config::{
+    document::{Access, Contract, Document, Fleet, Route, Server as Entry},
+    snapshot::{Key, Snapshot},
+};
+use azurenotch_core::request::access;
+use azurenotch_daemon::{
+    connection::listener::Listener,
+    request::{clock::Monotonic, gateway::Gateway},
+};
+use azurenotch_test_support::backend::{Behaviour, Server};
+use azurenotch_wire::{id::Incarnation, version::Version};
+use bytes::Bytes;
+use hdrhistogram::Histogram;
+use http::{Request, StatusCode, header};
+use http_body_util::{BodyExt, Empty};
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use prometheus::Registry;
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use slog::{Discard, Logger, o};
+use std::{
+    collections::BTreeMap,
+    error::Error,
+    net::{Ipv4Addr, SocketAddr},
+    sync::Arc,
+    time::{Duration, Instant},
+};
+use tokio::{net::TcpStream, task::JoinSet, time::timeout};
+use tokio_util::sync::CancellationToken;
+
+type Result<T, E = Box<dyn Error + Send + Sync>> = std::result::Result<T, E>;
+
+/// Numbers of concurrent requests that are measured.
+const CONCURRENCY: [usize; 3] = [1, 16, 128];
+/// Requests of each kind in one round.
+const ROUND: usize = 2_000;
+/// Rounds of each kind, in random order.
+const ROUNDS: usize = 10;
+/// Longest time for one request.
+const PATIENCE: Duration = Duration::from_secs(5);
+/// Longest time for the whole run.
+const RUN: Duration = Duration::from_mins(2);
+/// Largest latency in nanoseconds that a histogram holds.
+const LARGEST: u64 = 10_000_000_000;
+/// Key of the requests.
+const KEY: &str = "benchmark";
+
+#[tokio::main]
+async fn main() -> Result<()> {
+    let seed = std::env::args()
+        .nth(1)
+        .map_or(Ok(1), |text| text.parse::<u64>())?;
+    println!("seed {seed}");
+    timeout(RUN, measure(seed)).await?
+}
+
+async fn measure(seed: u64) -> Result<()> {
+    let behaviour = Behaviour {
+        slots: 1024,
+        ..Behaviour::default()
+    };
+    let backend = Server::start(behaviour).await?;
+    let stop = CancellationToken::new();
+    let gateway = start(backend.address(), &stop).await?;
+    let mut random = SmallRng::seed_from_u64(seed);
+    println!("concurrency  direct p50/p99 us  gateway p50/p99 us  ratio p50/p99  added p50 us");
+    for concurrency in CONCURRENCY {
+        let mut direct = Histogram::<u64>::new_with_bounds(1, LARGEST, 3)?;
+        let mut through = direct.clone();
+        // One unmeasured round of each kind opens connections and fills caches.
+        round(backend.address(), concurrency).await?;
+        round(gateway, concurrency).await?;
+        for _ in 0..ROUNDS {
+            if random.random() {
+                direct.add(round(backend.address(), concurrency).await?)?;
+                through.add(round(gateway, concurrency).await?)?;
+            } else {
+                through.add(round(gateway, concurrency).await?)?;
+                direct.add(round(backend.address(), concurrency).await?)?;
+            }
+        }
+        report(concurrency, &direct, &through);
+    }
+    stop.cancel();
+    Ok(())
+}
+
+fn report(concurrency: usize, direct: &Histogram<u64>, through: &Histogram<u64>) {
+    let micros = |histogram: &Histogram<u64>, q| histogram.value_at_quantile(q) as f64 / 1_000.0;
+    let [d50, d99] = [0.5, 0.99].map(|q| micros(direct, q));
+    let [t50, t99] = [0.5, 0.99].map(|q| micros(through, q));
+    println!(
+        "{concurrency:>11}  {d50:>8.1} {d99:>8.1}  {t50:>9.1} {t99:>8.1}  {:>6.2} {:>6.2}  {:>11.1}",
+        t50 / d50,
+        t99 / d99,
+        t50 - d50,
+    );
+}
+
+/// Sends [`ROUND`] requests over `concurrency` connections and returns their latencies.
+async fn round(address: SocketAddr, concurrency: usize) -> Result<Histogram<u64>> {
+    let mut tasks = JoinSet::new();
+    for _ in 0..concurrency {
+        tasks.spawn(caller(address, ROUND / concurrency));
+    }
+    let mut all = Histogram::new_with_bounds(1, LARGEST, 3)?;
+    while let Some(part) = tasks.join_next().await {
+        all.add(part??)?;
+    }
+    Ok(all)
+}
+
+async fn caller(address: SocketAddr, requests: usize) -> Result<Histogram<u64>> {
+    let stream = TcpStream::connect(address).await?;
+    stream.set_nodelay(true)?;
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+    let task = tokio::spawn(connection);
+    let mut latencies = Histogram::new_with_bounds(1, LARGEST, 3)?;
+    for _ in 0..requests {
+        let request = Request::get("/read/bytes/512")
+            .header(header::HOST, "h")
+            .header(header::AUTHORIZATION, format!("Bearer {KEY}"))
+            .body(Empty::<Bytes>::new())?;
+        let started = Instant::now();
+        let exchange = async {
+            sender.ready().await?;
+            let response = sender.send_request(request).await?;
+            let status = response.status();
+            response.into_body().collect().await?;
+            hyper::Result::Ok(status)
+        };
+        let status = timeout(PATIENCE, exchange).await??;
+        latencies.record(u64::try_from(started.elapsed().as_nanos())?)?;
+        if status != StatusCode::OK {
+            return Err(format!("request answered with {status}").into());
+        }
+    }
+    task.abort();
+    Ok(latencies)
+}
+
+async fn start(backend: SocketAddr, stop: &CancellationToken) -> Result<SocketAddr> {
+    let clock = Arc::new(Monotonic::new());
+    let gateway = Gateway::new(
+        &"n1".into(),
+        Incarnation(1),
+        "lisboa".into(),
+        clock,
+        &Registry::new(),
+    )?;
+    let gateway = Arc::new(gateway);
+    gateway.adopt(Arc::new(snapshot(backend)));
+    let address = (Ipv4Addr::LOCALHOST, 0).into();
+    let listener = Listener::bind(address, gateway, Logger::root(Discard, o!())).await?;
+    let address = listener.address();
+    tokio::spawn(listener.run(stop.clone()));
+    Ok(address)
+}
+
+fn snapshot(backend: SocketAddr) -> Snapshot {
+    let route = Route {
+        service: "main".into(),
+        prefix: "/read".to_owned(),
+        methods: vec!["GET".to_owned()],
+        access: Access::Keyed,
+        idempotent: true,
+        timeout: PATIENCE,
+        body_limit: 0,
+    };
+    let contract = Contract {
+        rate: 1e9,
+        burst: 1e9,
+        concurrency: 1024,
+        regional_share: BTreeMap::new(),
+        version_share_step: 0.1,
+        version_step_interval: PATIENCE,
+        latency: PATIENCE,
+        refusals: 0.01,
+        isolation_limit: PATIENCE,
+    };
+    let server = Entry {
+        service: "main".into(),
+        release: "1".into(),
+        data_centre: "lisboa".into(),
+        address: backend,
+        slots: 1024,
+        connections: 1024,
+    };
+    let key = Key {
+        workspace: "correios".into(),
+        name: "first".to_owned(),
+        withdrawn: false,
+    };
+    Snapshot {
+        version: Version {
+            epoch: 1,
+            number: 1,
+        },
+        document: Document {
+            fleet: Fleet {
+                slots: 1,
+                ..Fleet::default()
+            },
+            services: BTreeMap::from([("main".into(), "1".into())]),
+            servers: BTreeMap::from([("s1".into(), server)]),
+            routes: BTreeMap::from([("read".into(), route)]),
+            workspaces: BTreeMap::from([("correios".into(), contract)]),
+            ..Document::default()
+        },
+        keys: BTreeMap::from([(access::hash(KEY.as_bytes()), key)]),
+        ..Snapshot::default()
+    }
+}
--- a/crates/daemon/tests/attempts.rs
+++ b/crates/daemon/tests/attempts.rs
@@ -4,7 +4,7 @@
 
 use support::{Backend, Caller, FILL, Fixture, Frozen, Reply, TIMEOUT, get, post};
 use test_case::test_case;
-use tokio::{net::TcpListener, time::advance};
+use tokio::{net::TcpSocket, time::advance};
 
 const SHED: &[u8] =
     b"HTTP/1.1 503 Busy\r\nazurenotch-request: {id}\r\nretry-after: 2\r\ncontent-length: 0\r\n\r\n";
@@ -120,9 +120,11 @@
 #[test_case(post("/write", "slot 7"); "write")]
 #[tokio::test]
 async fn a_refused_connection_is_tried_elsewhere(request: String) {
-    let closed = TcpListener::bind("127.0.0.1:0").await.expect("free port");
+    // A bound socket that does not listen refuses connections and keeps its port from others.
+    let closed = TcpSocket::new_v4().expect("a socket");
+    let any = "127.0.0.1:0".parse().expect("an address");
+    closed.bind(any).expect("free port");
     let dead = closed.local_addr().expect("bound socket");
-    drop(closed);
     let alone = Fixture::start(&[dead]).await;
     assert_eq!(
         alone.call(&request).await.refusal(),
--- /dev/null
+++ b/crates/daemon/tests/connections.rs
@@ -0,0 +1,182 @@
+//! Callers that are malformed, slow, too large or too many, and the end of the listener.
+
+mod support;
+
+use azurenotch_daemon::{
+    connection::listener::{HEADER_TIMEOUT, LINGER},
+    request::upload::CALLER_STALL,
+};
+use support::{BODY_LIMIT, Backend, Caller, FILL, Fixture, Frozen, KEY, Reply, get, post};
+use tokio::{sync::mpsc, task::JoinSet, time::advance};
+
+fn right() -> Reply {
+    Reply::Answer("200 OK", b"right".to_vec())
+}
+
+fn chunked(path: &str, start: &str) -> String {
+    format!(
+        "POST {path} HTTP/1.1\r\nhost: h\r\nauthorization: Bearer {KEY}\r\n\
+         transfer-encoding: chunked\r\n\r\n{start}"
+    )
+}
+
+/// Guards against answers on a kept connection being mixed up.
+#[tokio::test]
+async fn a_connection_carries_many_requests() {
+    let backend = Backend::start(|seen| {
+        let path = seen.head.split(' ').nth(1).unwrap_or_default();
+        Reply::Answer("200 OK", path.as_bytes().to_vec())
+    })
+    .await;
+    let fixture = Fixture::start(&[backend.address]).await;
+    let mut caller = Caller::connect(fixture.address).await;
+    for number in 0..20 {
+        let path = format!("/read/{number}");
+        assert_eq!(caller.call(&get(&path)).await.body, path.as_bytes());
+    }
+    // Two requests that arrive together, then a malformed one.
+    caller
+        .send(&[get("/read/a"), get("/read/b"), "BAD\r\n\r\n".to_owned()].concat())
+        .await;
+    assert_eq!(caller.answer().await.expect("first").body, b"/read/a");
+    assert_eq!(caller.answer().await.expect("second").body, b"/read/b");
+    let refused = caller.answer().await.expect("refusal");
+    assert_eq!(refused.refusal(), ("not-run", "malformed"));
+    assert!(caller.answer().await.is_none(), "the connection is closed");
+}
+
+/// Guards against callers that hold a connection with an unfinished header.
+#[tokio::test(start_paused = true)]
+async fn a_slow_header_is_refused() {
+    let _frozen = Frozen::new();
+    let mut backend = Backend::start(|_| right()).await;
+    let fixture = Fixture::start(&[backend.address]).await;
+    advance(FILL).await;
+    let mut slow = Caller::connect(fixture.address).await;
+    let mut idle = Caller::connect(fixture.address).await;
+    slow.send("GET /read HTTP/1.1\r\nhost: ").await;
+    // An answered request shows that the listener has taken the connections before it.
+    assert_eq!(fixture.call(&get("/read")).await.status(), 200);
+    advance(HEADER_TIMEOUT).await;
+    let answer = slow.answer().await.expect("refusal");
+    assert_eq!(answer.status(), 408);
+    assert_eq!(answer.refusal(), ("not-run", "slow-caller"));
+    assert!(
+        idle.answer().await.is_none(),
+        "an idle caller is owed no answer"
+    );
+    assert_eq!(backend.drain().len(), 1);
+}
+
+/// Guards against callers that hold a backend server with an unfinished body.
+#[tokio::test(start_paused = true)]
+async fn a_stalled_body_is_refused() {
+    let _frozen = Frozen::new();
+    let mut backend = Backend::start(|_| Reply::Silent).await;
+    let fixture = Fixture::start(&[backend.address]).await;
+    advance(FILL).await;
+    let mut caller = Caller::connect(fixture.address).await;
+    caller.send(&chunked("/write", "3\r\nabc\r\n")).await;
+    assert!(backend.seen.recv().await.is_some());
+    advance(CALLER_STALL).await;
+    let answer = caller.answer().await.expect("refusal");
+    assert_eq!(answer.status(), 408);
+    assert_eq!(answer.refusal(), ("unknown", "slow-caller"));
+    assert!(
+        backend.closed.recv().await.is_some(),
+        "cancelled at the backend server"
+    );
+}
+
+/// Guards against bodies of unknown length that exceed the limit of the route.
+#[tokio::test]
+async fn a_streamed_body_is_measured() {
+    let backend = Backend::start(|_| Reply::Silent).await;
+    let fixture = Fixture::start(&[backend.address]).await;
+    let mut caller = Caller::connect(fixture.address).await;
+    caller.send(&chunked("/write", "")).await;
+    let chunk = format!("{:x}\r\n{}\r\n", 64 * 1024, "x".repeat(64 * 1024));
+    for _ in 0..=BODY_LIMIT / (64 * 1024) {
+        caller.send(&chunk).await;
+    }
+    let answer = caller.answer().await.expect("refusal");
+    assert_eq!(answer.status(), 413);
+    assert_eq!(answer.refusal(), ("unknown", "body-too-large"));
+}
+
+/// Guards against a body with a broken chunked coding being passed on as a complete one.
+#[tokio::test]
+async fn a_malformed_body_is_refused() {
+    let mut backend = Backend::start(|_| Reply::Silent).await;
+    let fixture = Fixture::start(&[backend.address]).await;
+    let mut caller = Caller::connect(fixture.address).await;
+    caller.send(&chunked("/write", "3\r\nabc\r\n")).await;
+    assert!(backend.seen.recv().await.is_some());
+    caller.send("not a length\r\n").await;
+    let answer = caller.answer().await.expect("refusal");
+    assert_eq!(answer.refusal(), ("unknown", "malformed"));
+    assert!(backend.closed.recv().await.is_some());
+}
+
+/// Guards against a bound on connections that leaves callers waiting.
+#[tokio::test]
+async fn a_connection_above_the_limit_is_turned_away_at_once() {
+    let backend = Backend::start(|_| right()).await;
+    let limit =
+        |listener: azurenotch_daemon::connection::listener::Listener| listener.with_connections(1);
+    let fixture = Fixture::with(&[backend.address], |gateway| gateway, limit).await;
+    let mut first = Caller::connect(fixture.address).await;
+    assert_eq!(first.call(&get("/read")).await.status(), 200);
+    let mut second = Caller::connect(fixture.address).await;
+    let answer = second.answer().await.expect("refusal");
+    assert_eq!(answer.refusal(), ("not-run", "overload"));
+    assert_eq!(first.call(&get("/read")).await.status(), 200);
+}
+
+/// Guards against a planned stop that interrupts requests, also on connections that are reused.
+#[tokio::test(start_paused = true)]
+async fn a_stop_under_load_cuts_nothing() {
+    let _frozen = Frozen::new();
+    let backend = Backend::start(|_| right()).await;
+    let fixture = Fixture::start(&[backend.address]).await;
+    advance(FILL).await;
+    let (sender, mut answered) = mpsc::unbounded_channel();
+    let mut callers = JoinSet::new();
+    for number in 0..32 {
+        let mut caller = Caller::connect(fixture.address).await;
+        let (sender, write) = (sender.clone(), number % 2 == 0);
+        callers.spawn(async move {
+            loop {
+                let request = if write {
+                    post("/write", "x")
+                } else {
+                    get("/read")
+                };
+                let answer = caller.call(&request).await;
+                assert_eq!((answer.status(), answer.complete), (200, true));
+                sender.send(()).expect("test runs");
+                if answer.header("connection") == Some("close") {
+                    assert!(caller.answer().await.is_none(), "nothing follows");
+                    return;
+                }
+            }
+        });
+    }
+    let mut idle = Caller::connect(fixture.address).await;
+    for _ in 0..200 {
+        answered.recv().await;
+    }
+    fixture.stop.cancel();
+    while let Some(ended) = callers.join_next().await {
+        ended.expect("every request was answered");
+    }
+    // An idle caller may send its request until the end of the linger time.
+    let answer = idle.call(&get("/read")).await;
+    assert_eq!(
+        (answer.status(), answer.header("connection")),
+        (200, Some("close"))
+    );
+    drop(idle);
+    advance(LINGER).await;
+    fixture.task.await.expect("the listener ends");
+}
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -273,6 +273,11 @@
         }
     }
 
+    /// Returns the number of bytes that were read behind the last header.
+    pub fn buffered(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Sends bytes.
     pub async fn send(&mut self, text: &str) {
         let sent = self.stream.write_all(text.as_bytes()).await;
