test(daemon): run the control actors through failures in virtual time

Cause: configuration, leases and budgets were only seen working in the example. Change: a fleet of daemons with an in-memory platform and network; 12 cases with lost answers, races, crashes, cuts, a platform outage of an hour and a restored store. Incarnations get a random part, since two processes may start in the same millisecond.

--- a/crates/daemon/src/process/daemon.rs
+++ b/crates/daemon/src/process/daemon.rs
@@ -4,14 +4,14 @@
     connection::listener::{self, Listener},
     process::{
         admission::Fleet,
-        budget, configuration,
+        budget, change, configuration,
         directory::Hosts,
         freshness::Evidence,
         node::Node,
         operator_api::OperatorApi,
         peer_api::PeerApi,
         peers,
-        recorder::Recorder,
+        recorder::{Recorder, wall_ms},
         role,
         serve::serve,
         slot,
@@ -23,9 +23,9 @@
     },
 };
 use arc_swap::{ArcSwap, ArcSwapOption};
-use azurenotch_config::setting::Setting;
+use azurenotch_config::{change::Change, setting::Setting};
 use azurenotch_platform::{Roster, Store, Table};
-use azurenotch_wire::{event::Kind, id::Incarnation};
+use azurenotch_wire::{event::Kind, id::Incarnation, version::Version};
 use parking_lot::Mutex;
 use prometheus::Registry;
 use ractor::{Actor, ActorRef};
@@ -39,6 +39,9 @@
 /// Longest time for each step of giving up shares, slot and roles.
 const RELEASE_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Longest time for a change to be accepted.
+const CHANGE_TIMEOUT: Duration = Duration::from_secs(15);
+
 /// Result of starting a daemon.
 pub type Result<T, E = Error> = std::result::Result<T, E>;
 
@@ -125,6 +128,7 @@
     node: Arc<Node>,
     hosts: Arc<Hosts>,
     actors: Actors,
+    peer_api: Arc<PeerApi>,
     callers: JoinHandle<()>,
     /// Ends the port for callers gracefully.
     stop_callers: CancellationToken,
@@ -151,7 +155,7 @@
     pub async fn start(mut setting: Setting, parts: Parts, log: Logger) -> Result<Self> {
         let log = log.new(o!("host" => setting.host.name.to_string()));
         let registry = Registry::new();
-        let incarnation = Incarnation(crate::process::recorder::wall_ms());
+        let incarnation = incarnation();
         let own = &setting.host;
         let peers = Arc::new(ArcSwap::default());
         let hosts = Arc::new(Hosts::new(
@@ -204,14 +208,14 @@
         node.recorder.record(Kind::Started { incarnation });
         let actors = Actors::spawn(&node, &hosts, fleet).await?;
         let stop = CancellationToken::new();
-        let peer_api = PeerApi {
+        let peer_api = Arc::new(PeerApi {
             node: Arc::clone(&node),
             peers: actors.peers.clone(),
             budget: actors.budget.clone(),
-        };
+        });
         tokio::spawn(serve(
             peer_port,
-            Arc::new(peer_api),
+            Arc::clone(&peer_api) as _,
             stop.clone(),
             log.clone(),
         ));
@@ -235,6 +239,7 @@
             node,
             hosts,
             actors,
+            peer_api,
             callers,
             stop_callers,
             stop,
@@ -247,6 +252,24 @@
         (own.listen, own.peer, own.operator)
     }
 
+    /// Returns the interface towards other hosts, for transports other than HTTP.
+    pub fn peer_api(&self) -> &Arc<PeerApi> {
+        &self.peer_api
+    }
+
+    /// Asks for a change of the configuration.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the change was not accepted.
+    pub async fn change(&self, change: Change) -> change::Result<Version> {
+        let version =
+            configuration::request(&self.actors.configuration, change, CHANGE_TIMEOUT).await?;
+        // Without the announcement the others learn of the version in the next round.
+        let _ = self.actors.peers.send_message(peers::Message::Announce);
+        Ok(version)
+    }
+
     /// Returns the shared state of the host.
     pub fn node(&self) -> &Arc<Node> {
         &self.node
@@ -359,6 +382,15 @@
     }
 }
 
+/// Returns a number above that of every earlier process of this host.
+///
+/// The random part tells apart processes that start within the same millisecond.
+fn incarnation() -> Incarnation {
+    const RANDOM_BITS: u32 = 20;
+    let random = u64::from(random::<u32>() >> (u32::BITS - RANDOM_BITS));
+    Incarnation((wall_ms() << RANDOM_BITS) | random)
+}
+
 async fn spawn_role(
     node: &Arc<Node>,
     role: &str,
--- /dev/null
+++ b/crates/daemon/tests/control.rs
@@ -0,0 +1,325 @@
+//! Configuration, leases and budgets under failures, in virtual time.
+
+mod fleet;
+
+use azurenotch_config::{change::Change, snapshot::KeyHash};
+use azurenotch_daemon::process::{budget::ROLE, change::Error};
+use azurenotch_test_support::fault::{Endpoint, Fault};
+use azurenotch_wire::version::Version;
+use fleet::{DOCUMENT, Fleet, LIMIT, wait};
+use std::time::Duration;
+use test_case::test_case;
+use tokio::time;
+
+/// Time within which a change is in force on every reachable host of a small fleet.
+const IN_FORCE: Duration = Duration::from_secs(5);
+/// Time within which a dead holder of a role is replaced.
+const TAKEOVER: Duration = Duration::from_secs(10);
+/// Pause between two rounds of requests.
+const STEP: Duration = Duration::from_millis(20);
+
+fn grant(name: &str) -> Change {
+    Change::GrantKey {
+        hash: KeyHash::of(name.as_bytes()),
+        workspace: "correios".into(),
+        name: name.to_owned(),
+    }
+}
+
+/// Guards against a change that never reaches a host whose peers cannot tell it.
+#[tokio::test(start_paused = true)]
+async fn a_change_reaches_a_host_that_is_cut_from_its_peers() {
+    let fleet = Fleet::configured(4).await;
+    for other in ["h1", "h2", "h3"] {
+        fleet.network.set_cut("h4", other, true);
+    }
+    let version = fleet.daemons["h1"]
+        .change(grant("k"))
+        .await
+        .expect("accepted");
+    assert!(
+        fleet.in_force(version, IN_FORCE).await,
+        "h4 reads the head itself"
+    );
+}
+
+/// Guards against a change that is lost or applied twice when the table's answer is lost.
+#[test_case(1; "one answer")]
+#[test_case(3; "three answers in a row")]
+#[tokio::test(start_paused = true)]
+async fn a_change_whose_answer_was_lost_is_accepted_once(answers: u32) {
+    let fleet = Fleet::configured(2).await;
+    // Renewals of leases take some of the lost answers, which must not matter.
+    let fault = Fault {
+        lose_answers: answers,
+        ..Fault::default()
+    };
+    fleet.platform.set_fault(Endpoint::Table, fault);
+    let before = fleet.daemons["h1"].node().version().number;
+    let version = fleet.daemons["h1"]
+        .change(grant("k"))
+        .await
+        .expect("accepted");
+    assert_eq!(version.number, before + 1);
+    let again = fleet.daemons["h2"].change(grant("k")).await;
+    assert!(
+        matches!(again, Err(Error::Refused { .. })),
+        "the key is granted: {again:?}"
+    );
+}
+
+/// Guards against two operators who overwrite each other's document.
+#[tokio::test(start_paused = true)]
+async fn of_two_racing_operators_one_gets_a_conflict() {
+    let fleet = Fleet::configured(2).await;
+    let expect = fleet.daemons["h1"].node().version();
+    let apply = |rate: &str| Change::Apply {
+        text: DOCUMENT.replace("rate = 100/s", rate),
+        expect,
+    };
+    let (first, second) = tokio::join!(
+        fleet.daemons["h1"].change(apply("rate = 200/s")),
+        fleet.daemons["h2"].change(apply("rate = 300/s")),
+    );
+    assert!(first.is_ok() != second.is_ok(), "{first:?} {second:?}");
+    let conflict = first.and(second).expect_err("one of them failed");
+    assert_eq!(
+        conflict.current(),
+        Some(Version {
+            number: expect.number + 1,
+            ..expect
+        })
+    );
+}
+
+/// Guards against keys that race and of which one is lost.
+#[tokio::test(start_paused = true)]
+async fn racing_grants_of_keys_are_all_accepted() {
+    let fleet = Fleet::configured(3).await;
+    let (a, b, c) = tokio::join!(
+        fleet.daemons["h1"].change(grant("a")),
+        fleet.daemons["h2"].change(grant("b")),
+        fleet.daemons["h3"].change(grant("c")),
+    );
+    let last = [a, b, c]
+        .into_iter()
+        .map(|it| it.expect("accepted"))
+        .max()
+        .expect("three");
+    assert!(fleet.in_force(last, IN_FORCE).await);
+    let snapshot = fleet.daemons["h1"].node().snapshot().expect("configured");
+    assert_eq!(snapshot.keys.len(), 3);
+}
+
+/// Guards against a host that cannot start while the platform is down.
+#[tokio::test(start_paused = true)]
+async fn a_host_that_starts_while_the_platform_is_down_asks_its_peers() {
+    let mut fleet = Fleet::configured(2).await;
+    let version = fleet.daemons["h1"].node().version();
+    fleet.platform_fault(&Fault {
+        down: true,
+        ..Fault::default()
+    });
+    let seed = fleet.daemons["h1"].addresses().1;
+    fleet.add("h3", &[seed]).await;
+    assert!(fleet.in_force(version, IN_FORCE).await);
+}
+
+/// Guards against a version that is lost when the store is restored from a backup.
+#[tokio::test(start_paused = true)]
+async fn a_store_that_was_restored_late_is_brought_forward() {
+    let mut fleet = Fleet::configured(2).await;
+    let table = std::sync::Arc::clone(&fleet.platform);
+    let old = azurenotch_platform::Table::get(&*table, "config/head")
+        .await
+        .expect("readable");
+    let old = old.expect("there is a head");
+    let version = fleet.daemons["h1"]
+        .change(grant("k"))
+        .await
+        .expect("accepted");
+    let now = azurenotch_platform::Table::get(&*table, "config/head")
+        .await
+        .expect("readable");
+    let expect = azurenotch_platform::table::Expect::Version(now.expect("there is a head").version);
+    azurenotch_platform::Table::put(&*table, "config/head", &old.value, expect, None)
+        .await
+        .expect("writable");
+    time::sleep(Duration::from_secs(3)).await;
+    assert!(
+        fleet.in_force(version, Duration::ZERO).await,
+        "no host went back"
+    );
+    fleet.crash("h1");
+    fleet.crash("h2");
+    fleet.add("h5", &[]).await;
+    assert!(
+        fleet.in_force(version, IN_FORCE).await,
+        "the head was moved forward"
+    );
+}
+
+/// Guards against a role that stays with a dead holder.
+#[tokio::test(start_paused = true)]
+async fn a_dead_holder_is_replaced_in_bounded_time() {
+    let mut fleet = Fleet::configured(4).await;
+    let first = fleet.holder(ROLE, TAKEOVER).await.expect("a holder");
+    fleet.crash(&first);
+    assert!(
+        fleet.holder(ROLE, TAKEOVER).await.is_some(),
+        "nobody took over from {first}"
+    );
+}
+
+/// Guards against a role that waits for the term of a holder that stopped gracefully.
+#[tokio::test(start_paused = true)]
+async fn a_graceful_stop_hands_the_role_over_at_once() {
+    let mut fleet = Fleet::configured(4).await;
+    let first = fleet.holder(ROLE, TAKEOVER).await.expect("a holder");
+    fleet.stop(&first).await;
+    let next = fleet.holder(ROLE, Duration::from_secs(3)).await;
+    assert!(next.is_some(), "nobody took over from {first}");
+}
+
+/// Leaky bucket that sees every admission of the fleet.
+#[derive(Default)]
+struct Bound {
+    level: f64,
+    last: f64,
+    worst: f64,
+    admitted: u32,
+}
+
+impl Bound {
+    fn admit(&mut self, seconds: f64) {
+        let drained = (seconds - self.last) * LIMIT.0;
+        self.level = (self.level - drained).max(0.0) + 1.0;
+        self.last = seconds;
+        self.worst = self.worst.max(self.level);
+        self.admitted += 1;
+    }
+}
+
+/// Offers more than the rate at every host for a while and counts admissions.
+async fn offer(fleet: &Fleet, bound: &mut Bound, start: time::Instant, length: Duration) {
+    let end = time::Instant::now() + length;
+    while time::Instant::now() < end {
+        for name in fleet.daemons.keys() {
+            for _ in 0..2 {
+                if fleet.admits(name) {
+                    bound.admit(start.elapsed().as_secs_f64());
+                }
+            }
+        }
+        time::sleep(STEP).await;
+    }
+}
+
+/// Guards against tokens that are minted by crashes, takeovers, outages or cuts.
+#[tokio::test(start_paused = true)]
+async fn no_workspace_exceeds_its_rate_and_burst_through_failures() {
+    let mut fleet = Fleet::configured(4).await;
+    let start = time::Instant::now();
+    let mut bound = Bound::default();
+    offer(&fleet, &mut bound, start, Duration::from_secs(10)).await;
+    let holder = fleet.holder(ROLE, TAKEOVER).await.expect("a holder");
+    fleet.crash(&holder);
+    offer(&fleet, &mut bound, start, Duration::from_secs(20)).await;
+    fleet.add("h5", &[]).await;
+    offer(&fleet, &mut bound, start, Duration::from_secs(10)).await;
+    fleet.platform_fault(&Fault {
+        down: true,
+        ..Fault::default()
+    });
+    offer(&fleet, &mut bound, start, Duration::from_secs(30)).await;
+    let names = fleet.daemons.keys().cloned().collect::<Vec<_>>();
+    for other in &names[1..] {
+        fleet.network.set_cut(&names[0], other, true);
+    }
+    fleet.platform_fault(&Fault::default());
+    offer(&fleet, &mut bound, start, Duration::from_secs(30)).await;
+    for other in &names[1..] {
+        fleet.network.set_cut(&names[0], other, false);
+    }
+    fleet.platform_fault(&Fault {
+        lose_answers: 20,
+        ..Fault::default()
+    });
+    offer(&fleet, &mut bound, start, Duration::from_secs(20)).await;
+    assert!(
+        bound.worst <= LIMIT.1 + 1e-6,
+        "burst reached {:.2}",
+        bound.worst
+    );
+    // Less than half of the rate would show that the shares do not recover.
+    let share = f64::from(bound.admitted) / (start.elapsed().as_secs_f64() * LIMIT.0);
+    assert!(share > 0.5, "only {share:.2} of the rate was admitted");
+}
+
+/// Guards against traffic within rate that is refused while the platform is down.
+#[tokio::test(start_paused = true)]
+async fn shares_outlast_an_hour_without_the_platform() {
+    let fleet = Fleet::configured(4).await;
+    let start = time::Instant::now();
+    offer(
+        &fleet,
+        &mut Bound::default(),
+        start,
+        Duration::from_secs(20),
+    )
+    .await;
+    fleet.platform_fault(&Fault {
+        down: true,
+        ..Fault::default()
+    });
+    time::sleep(Duration::from_mins(59)).await;
+    let mut bound = Bound::default();
+    let resumed = time::Instant::now();
+    offer(&fleet, &mut bound, resumed, Duration::from_secs(20)).await;
+    assert!(
+        bound.worst <= LIMIT.1 + 1e-6,
+        "burst reached {:.2}",
+        bound.worst
+    );
+    let share = f64::from(bound.admitted) / (resumed.elapsed().as_secs_f64() * LIMIT.0);
+    assert!(share > 0.75, "only {share:.2} of the rate was admitted");
+}
+
+/// Guards against keys that stay valid at a host that can no longer know of withdrawals.
+#[tokio::test(start_paused = true)]
+async fn an_isolated_host_refuses_keys_and_a_platform_outage_does_not() {
+    let fleet = Fleet::configured(4).await;
+    let contract = |name: &str| {
+        let snapshot = fleet.daemons[name].node().snapshot().expect("configured");
+        snapshot.document.workspaces["correios"].clone()
+    };
+    let honours = |name: &str| {
+        use azurenotch_daemon::request::freshness::Freshness;
+        let node = fleet.daemons[name].node();
+        node.evidence
+            .check(node.clock.now(), &contract(name))
+            .is_ok()
+    };
+    time::sleep(Duration::from_secs(10)).await;
+    fleet.platform_fault(&Fault {
+        down: true,
+        ..Fault::default()
+    });
+    time::sleep(Duration::from_mins(10)).await;
+    assert!(honours("h1"), "the platform is down for everyone");
+    for other in ["h1", "h2", "h3"] {
+        fleet.network.set_cut("h4", other, true);
+    }
+    assert!(
+        wait(Duration::from_secs(10), || !honours("h4")).await,
+        "h4 may miss a withdrawal"
+    );
+    fleet.platform_fault(&Fault::default());
+    for other in ["h1", "h2", "h3"] {
+        fleet.network.set_cut("h4", other, false);
+    }
+    assert!(
+        wait(Duration::from_secs(10), || honours("h4")).await,
+        "h4 knows again"
+    );
+}
