fix(daemon): wait for a free slot, tell stale connections from failed servers

A host's share of a backend server is often a single slot, so requests that arrived together were refused with overload although a slot became free within milliseconds. The first attempt now waits at most 100 ms (bounded number of waiters). A connection that was closed while idle no longer counts against its server: the retry uses a fresh connection, also to the same server. HTTP/1.0 callers get a reset for a truncated answer, requests need exactly one host, and refusals above the connection limit are written reliably.

--- a/crates/daemon/src/connection/listener.rs
+++ b/crates/daemon/src/connection/listener.rs
@@ -5,7 +5,7 @@
     request::{gateway::Gateway, metrics::Unit},
 };
 use azurenotch_wire::refusal::{Reason, Refusal};
-use hyper::{server::conn::http1::Builder, service::service_fn};
+use hyper::{Request, body::Incoming, server::conn::http1::Builder, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use slog::{Logger, debug, warn};
 use snafu::{ResultExt, Snafu};
@@ -42,6 +42,8 @@
 const FAREWELL: Duration = Duration::from_secs(1);
 /// Bytes that are read and dropped before a connection is closed.
 const FAREWELL_BYTES: usize = 1024 * 1024;
+/// Largest number of connections above the limit that are told so before they are closed.
+const MAX_FAREWELLS: usize = 256;
 /// Bytes of an answer that are buffered for a slow caller.
 const BUFFER: usize = 64 * 1024;
 
@@ -68,6 +70,7 @@
     address: SocketAddr,
     gateway: Arc<Gateway>,
     places: Arc<Semaphore>,
+    farewells: Arc<Semaphore>,
     log: Logger,
 }
 
@@ -87,6 +90,7 @@
             address,
             gateway,
             places: Arc::new(Semaphore::new(MAX_CONNECTIONS)),
+            farewells: Arc::new(Semaphore::new(MAX_FAREWELLS)),
             log,
         })
     }
@@ -152,9 +156,13 @@
         if let Ok(place) = Arc::clone(&self.places).try_acquire_owned() {
             let log = self.log.clone();
             tasks.spawn(serve(gateway, stream, peer, stop.clone(), place, log));
-        } else {
+        } else if let Ok(place) = Arc::clone(&self.farewells).try_acquire_owned() {
             let refusal = Refusal::not_run(Reason::Overload);
-            turn_away(&stream, &gateway.refuse_raw(&refusal, peer.ip()));
+            let refusal = gateway.refuse_raw(&refusal, peer.ip());
+            tasks.spawn(async move {
+                part(stream, &refusal).await;
+                drop(place);
+            });
         }
     }
 }
@@ -175,8 +183,8 @@
     }
     let exchange = Exchange::default();
     let stream = Stream::new(stream, exchange.clone(), replace(&gateway, peer.ip()));
-    let service = service_fn(|request| {
-        exchange.begin();
+    let service = service_fn(|request: Request<Incoming>| {
+        exchange.begin(request.version());
         let gateway = Arc::clone(&gateway);
         async move { Ok::<_, Infallible>(gateway.handle(request, peer).await) }
     });
@@ -200,6 +208,7 @@
             }
         }
     };
+    let stream = connection.into_parts().io.into_inner().into_inner();
     let mut farewell = Vec::new();
     if let Err(error) = result {
         debug!(log, "listener: connection ended"; "peer" => %peer, "error" => %error);
@@ -207,10 +216,12 @@
             farewell = gateway.refuse_raw(&Refusal::not_run(Reason::SlowCaller), peer.ip());
         } else if !error.is_parse() {
             // A caller must not take a broken answer for a complete one, so nothing follows it.
+            if exchange.ends_with_connection() {
+                drop(stream.set_zero_linger());
+            }
             return;
         }
     }
-    let stream = connection.into_parts().io.into_inner().into_inner();
     part(stream, &farewell).await;
 }
 
@@ -248,9 +259,3 @@
     // The caller may be gone, and then nobody is left to tell.
     drop(farewell.await);
 }
-
-/// Writes a refusal to a new connection without waiting for its caller.
-fn turn_away(stream: &TcpStream, refusal: &[u8]) {
-    // A new connection has room for a refusal; a caller that is gone needs none.
-    drop(stream.try_write(refusal));
-}
--- a/crates/daemon/src/connection/pool.rs
+++ b/crates/daemon/src/connection/pool.rs
@@ -74,6 +74,8 @@
     Any,
     /// One that carried an answer within [`PROVEN_FOR`], or a fresh one.
     Proven,
+    /// A fresh one.
+    Fresh,
 }
 
 /// Connections to one backend server.
@@ -105,6 +107,7 @@
 pub struct Lease {
     pool: Arc<Pool>,
     link: Link,
+    reused: bool,
 }
 
 impl Drop for Link {
@@ -163,28 +166,30 @@
         left: Duration,
     ) -> Result<Lease> {
         if let Some(link) = self.reuse(now, need) {
-            return Ok(self.lend(link));
+            return Ok(self.lend(link, true));
         }
         let open = self.reserve().ok_or(Error::Busy {
             address: self.address,
         })?;
         let link = self.connect(now, open, left.min(CONNECT_TIMEOUT)).await?;
-        Ok(self.lend(link))
+        Ok(self.lend(link, false))
     }
 
-    fn lend(self: &Arc<Self>, link: Link) -> Lease {
+    fn lend(self: &Arc<Self>, link: Link, reused: bool) -> Lease {
         Lease {
             pool: Arc::clone(self),
             link,
+            reused,
         }
     }
 
     fn reuse(&self, now: Instant, need: Need) -> Option<Link> {
-        let mut idle = self.idle.lock();
         let age = match need {
             Need::Any => MAX_IDLE,
             Need::Proven => PROVEN_FOR,
+            Need::Fresh => return None,
         };
+        let mut idle = self.idle.lock();
         let mut position = idle.len();
         while position > 0 {
             position -= 1;
@@ -264,6 +269,11 @@
         })
     }
 
+    /// Returns whether the connection carried an earlier request.
+    pub fn is_reused(&self) -> bool {
+        self.reused
+    }
+
     /// Takes note that the connection carried a proper answer at `now`.
     pub fn prove(&mut self, now: Instant) {
         self.link.proven = now;
@@ -271,7 +281,7 @@
 
     /// Returns the connection to its pool for the next request.
     pub fn release(self) {
-        let Self { pool, link } = self;
+        let Self { pool, link, .. } = self;
         let above = pool.open() > pool.limit.load(Ordering::Relaxed);
         if !above && !link.sender.is_closed() {
             pool.idle.lock().push_back(link);
--- a/crates/daemon/src/connection/stream.rs
+++ b/crates/daemon/src/connection/stream.rs
@@ -1,5 +1,6 @@
 //! A caller's connection, with the host's own refusals in place of the HTTP library's.
 
+use http::Version;
 use parking_lot::Mutex;
 use std::{
     fmt::{self, Debug, Formatter},
@@ -44,16 +45,24 @@
     owed: bool,
     /// Bytes arrived since anything was last written.
     begun: bool,
+    /// The end of an answer without a length is the end of the connection, as in HTTP/1.0.
+    ends_with_connection: bool,
 }
 
 impl Exchange {
     /// Takes note that a request was handed to the service.
-    pub fn begin(&self) {
+    pub fn begin(&self, version: Version) {
         let mut state = self.state.lock();
+        state.ends_with_connection = version < Version::HTTP_11;
         state.owed = true;
         state.begun = false;
     }
 
+    /// Returns whether the caller takes the end of the connection for the end of an answer.
+    pub fn ends_with_connection(&self) -> bool {
+        self.state.lock().ends_with_connection
+    }
+
     /// Returns whether the caller has sent a part of a request that was not handed on.
     pub fn is_begun(&self) -> bool {
         let state = self.state.lock();
--- a/crates/daemon/src/request/body.rs
+++ b/crates/daemon/src/request/body.rs
@@ -5,6 +5,7 @@
 use http_body::{Body as HttpBody, Frame, SizeHint};
 use http_body_util::Full;
 use hyper::body::Incoming;
+use prometheus::IntCounter;
 use snafu::Snafu;
 use std::{
     any::Any,
@@ -56,6 +57,7 @@
     withdrawn: Option<Pin<Box<WaitForCancellationFutureOwned>>>,
     stall: Option<Pin<Box<Sleep>>>,
     armed: bool,
+    broken: IntCounter,
     _held: Box<dyn Any + Send>,
 }
 
@@ -67,12 +69,13 @@
 }
 
 impl Download {
-    /// Creates a body that keeps `held` until it ends.
+    /// Creates a body that keeps `held` until it ends and counts a break in `broken`.
     pub fn new<T: Any + Send>(
         inner: Incoming,
         lease: Lease,
         upload: Source,
         withdrawn: Option<CancellationToken>,
+        broken: IntCounter,
         held: T,
     ) -> Self {
         let mut download = Self {
@@ -82,6 +85,7 @@
             withdrawn: withdrawn.map(|token| Box::pin(token.cancelled_owned())),
             stall: None,
             armed: false,
+            broken,
             _held: Box::new(held),
         };
         download.finish_if_ended();
@@ -105,6 +109,7 @@
 
     fn fail(&mut self, error: Error) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
         self.lease = None;
+        self.broken.inc();
         Poll::Ready(Some(Err(error)))
     }
 
--- a/crates/daemon/src/request/forward.rs
+++ b/crates/daemon/src/request/forward.rs
@@ -27,8 +27,10 @@
 
 /// Product name in the `via` header.
 const VIA: &str = "1.1 azurenotch";
-/// Time after which a caller may try again when all connections are in use.
+/// Time after which a caller may try again when all slots or connections are in use.
 const BUSY_RETRY: Duration = Duration::from_millis(200);
+/// Longest wait for a free slot at any backend server.
+const SLOT_WAIT: Duration = Duration::from_millis(100);
 
 /// A request that was admitted.
 #[derive(Debug)]
@@ -57,52 +59,86 @@
     refusal: Refusal,
     /// Whether a byte of the request may have been written.
     sent: bool,
-    /// Whether another backend server may do better.
+    /// Whether another attempt may do better.
     elsewhere: bool,
+    /// Whether the connection may have been closed before the attempt.
+    stale: bool,
     verdict: Verdict,
 }
 
+/// Attempts made for one request so far.
+#[derive(Debug, Default)]
+struct Progress {
+    number: u32,
+    /// Backend servers that are not asked again.
+    excluded: Vec<usize>,
+    /// Time spent on the attempts.
+    waited: Duration,
+    /// Last answer of a backend server that shed the request.
+    shed: Option<Answer>,
+    /// What the caller is told if no attempt succeeds.
+    refusal: Option<Refusal>,
+}
+
+impl Progress {
+    /// Keeps the refusal that says more: an unknown outcome is never replaced by `not-run`.
+    fn fail(&mut self, refusal: Refusal) {
+        let known = self.refusal.as_ref();
+        if known.is_none_or(|known| {
+            known.outcome == Outcome::NotRun || refusal.outcome == Outcome::Unknown
+        }) {
+            self.refusal = Some(refusal);
+        }
+    }
+}
+
 /// Sends a request until it is answered or must not be sent again.
 pub(crate) async fn run(mut job: Job<'_>) -> Result<Response<Body>> {
     prepare(&mut job)?;
-    let mut tried = Vec::new();
-    let mut waited = Duration::ZERO;
-    let mut shed = None;
-    let mut worst = Refusal::not_run(Reason::NoServer);
-    loop {
-        let now = job.gateway.clock.now();
-        let Some((place, pool)) = job.pick(now, &tried) else {
-            if worst.outcome == Outcome::NotRun && tried.is_empty() {
-                worst = Refusal::not_run(Reason::Overload).retry_after(BUSY_RETRY);
-            }
-            break;
-        };
-        tried.push(place.index());
-        let result = job.attempt(place, &pool).await;
-        waited += job.gateway.clock.now().since(now);
-        match result {
+    let mut progress = Progress::default();
+    while let Some((place, pool)) = job.pick(&mut progress).await {
+        let started = job.gateway.clock.now();
+        let index = place.index();
+        let result = job.attempt(place, &pool, progress.number).await;
+        progress.number += 1;
+        progress.waited += job.gateway.clock.now().since(started);
+        let sent = match result {
             Ok(answer) if is_shed(&answer.response) => {
-                shed = Some(answer);
-                if !job.grant.route.idempotent || !job.permits(tried.len(), true) {
+                progress.excluded.push(index);
+                progress.shed = Some(answer);
+                if !job.grant.route.idempotent {
                     break;
                 }
+                true
             }
-            Ok(answer) => return Ok(job.pass_on(answer, waited)),
+            Ok(answer) => return Ok(job.pass_on(answer, progress.waited)),
             Err(failure) => {
-                if failure.sent || worst.outcome == Outcome::NotRun {
-                    worst = failure.refusal;
+                // A connection that was closed while idle says nothing about its server.
+                if !failure.stale {
+                    progress.excluded.push(index);
                 }
-                if !failure.elsewhere || !job.permits(tried.len(), failure.sent) {
+                progress.fail(failure.refusal);
+                if !failure.elsewhere {
                     break;
                 }
+                failure.sent
             }
+        };
+        if !job.permits(progress.number, sent) {
+            break;
         }
         job.gateway.metrics.retried(job.grant.name.as_str());
     }
-    match shed {
+    let unknown = progress
+        .refusal
+        .as_ref()
+        .is_some_and(|refusal| refusal.outcome == Outcome::Unknown);
+    match progress.shed {
         // An unknown outcome of another attempt must not be hidden behind a shed request.
-        Some(answer) if worst.outcome == Outcome::NotRun => Ok(job.pass_on(answer, waited)),
-        _ => Err(worst),
+        Some(answer) if !unknown => Ok(job.pass_on(answer, progress.waited)),
+        _ => Err(progress
+            .refusal
+            .unwrap_or(Refusal::not_run(Reason::NoServer))),
     }
 }
 
@@ -123,6 +159,11 @@
         let workspace = HeaderValue::from_str(holder.workspace.as_str());
         headers.insert(refusal::WORKSPACE, workspace.ok().ok_or_else(malformed)?);
     }
+    // A request with several hosts could mean another one to the backend server.
+    let hosts = headers.get_all(http::header::HOST).iter().count();
+    if hosts > 1 || (hosts == 0 && head.version == Version::HTTP_11) {
+        return Err(malformed());
+    }
     let target = head.uri.path_and_query().cloned();
     head.uri = target.map_or_else(|| Uri::from_static("/"), Uri::from);
     head.version = Version::HTTP_11;
@@ -131,11 +172,34 @@
 
 impl Job<'_> {
     /// Chooses a backend server of the newest configuration.
-    fn pick(&self, now: Instant, tried: &[usize]) -> Option<(Place, Arc<Pool>)> {
+    ///
+    /// The first attempt waits a short time for a free slot, so that a burst within the contract is
+    /// not refused because its requests arrive together. Later attempts do not wait.
+    async fn pick(&self, progress: &mut Progress) -> Option<(Place, Arc<Pool>)> {
         let current = self.gateway.current()?;
         let group = current.group(&self.grant.route.service)?;
-        let place = group.pick(now, &self.release, tried)?;
-        let pool = current.pool(place.server()).map(Arc::clone)?;
+        let now = self.gateway.clock.now();
+        let place = match group.pick(now, &self.release, &progress.excluded) {
+            Some(place) => Some(place),
+            None if progress.number == 0 => {
+                let wait = self.deadline.left(now)?.div_f64(2.0).min(SLOT_WAIT);
+                let started = now;
+                let place = group.wait(&*self.gateway.clock, &self.release, wait).await;
+                progress.waited += self.gateway.clock.now().since(started);
+                place
+            }
+            None => None,
+        };
+        let Some(place) = place else {
+            let busy = Refusal::not_run(Reason::Overload).retry_after(BUSY_RETRY);
+            progress.refusal.get_or_insert(busy);
+            return None;
+        };
+        let pool = self
+            .gateway
+            .current()?
+            .pool(place.server())
+            .map(Arc::clone)?;
         Some((place, pool))
     }
 
@@ -144,9 +208,15 @@
         &self,
         mut place: Place,
         pool: &Arc<Pool>,
+        number: u32,
     ) -> std::result::Result<Answer, Failure> {
         let started = self.gateway.clock.now();
-        let result = self.exchange(pool).await;
+        let need = match (number, self.grant.route.idempotent) {
+            (0, true) => Need::Any,
+            (0, false) => Need::Proven,
+            _ => Need::Fresh,
+        };
+        let result = self.exchange(pool, need).await;
         let now = self.gateway.clock.now();
         let latency = now.since(started);
         let verdict = match &result {
@@ -170,13 +240,14 @@
     async fn exchange(
         &self,
         pool: &Arc<Pool>,
+        need: Need,
     ) -> std::result::Result<(Response<Incoming>, Lease), Failure> {
         let clock = &self.gateway.clock;
         let withdrawn = self.withdrawn();
         let mut lease = select! {
             biased;
             () = withdrawn.cancelled() => return Err(Failure::withdrawn(false)),
-            lease = self.lease(pool) => lease?,
+            lease = self.lease(pool, need) => lease?,
         };
         let now = clock.now();
         let left = self.deadline.left(now).ok_or_else(Failure::late)?;
@@ -187,7 +258,7 @@
             () = withdrawn.cancelled() => return Err(Failure::withdrawn(true)),
             sent = timeout(left, lease.send(request)) => match sent {
                 Ok(Ok(response)) => response,
-                Ok(Err(failed)) => return Err(self.lost(failed)),
+                Ok(Err(failed)) => return Err(self.lost(failed, lease.is_reused())),
                 Err(_) => return Err(self.timed_out()),
             },
         };
@@ -198,14 +269,9 @@
         Ok((response, lease))
     }
 
-    async fn lease(&self, pool: &Arc<Pool>) -> std::result::Result<Lease, Failure> {
+    async fn lease(&self, pool: &Arc<Pool>, need: Need) -> std::result::Result<Lease, Failure> {
         let now = self.gateway.clock.now();
         let left = self.deadline.left(now).ok_or_else(Failure::late)?;
-        let need = if self.grant.route.idempotent {
-            Need::Any
-        } else {
-            Need::Proven
-        };
         pool.lease(now, need, left).await.map_err(|error| {
             if self.deadline.left(self.gateway.clock.now()).is_none() {
                 Failure::late()
@@ -232,9 +298,9 @@
         transfer.map_or_else(CancellationToken::new, |it| it.token().clone())
     }
 
-    fn permits(&self, attempts: usize, sent: bool) -> bool {
+    fn permits(&self, number: u32, sent: bool) -> bool {
         let attempt = Attempt {
-            number: u32::try_from(attempts).unwrap_or(u32::MAX),
+            number,
             idempotent: self.grant.route.idempotent,
             sent,
             consumed: self.upload.is_consumed(),
@@ -258,16 +324,26 @@
     }
 
     /// Explains a failure of the connection, which may be due to the caller's own body.
-    fn lost(&self, failed: Failed) -> Failure {
-        match (self.upload.error(), failed) {
-            (Some(error), _) => Failure::caller(error),
-            (None, Failed::NotSent) => Failure {
+    ///
+    /// A connection that was idle may have been closed meanwhile, which says nothing about the
+    /// backend server itself.
+    fn lost(&self, failed: Failed, reused: bool) -> Failure {
+        if let Some(error) = self.upload.error() {
+            return Failure::caller(error);
+        }
+        let stale = Failure {
+            stale: true,
+            verdict: Verdict::Abandoned,
+            ..Failure::server(Reason::LostServer)
+        };
+        match failed {
+            Failed::NotSent => Failure {
                 refusal: Refusal::not_run(Reason::NoServer),
                 sent: false,
-                elsewhere: true,
-                verdict: Verdict::Abandoned,
+                ..stale
             },
-            (None, Failed::Sent(_)) => Failure::server(Reason::LostServer),
+            Failed::Sent(_) if reused => stale,
+            Failed::Sent(_) => Failure::server(Reason::LostServer),
         }
     }
 
@@ -292,7 +368,8 @@
             .append(http::header::VIA, HeaderValue::from_static(VIA));
         let withdrawn = self.held.transfer.as_ref().map(|it| it.token().clone());
         let guards = (answer.place, self.held);
-        let body = Download::new(body, answer.lease, self.upload, withdrawn, guards);
+        let broken = self.gateway.metrics.broken(route);
+        let body = Download::new(body, answer.lease, self.upload, withdrawn, broken, guards);
         Response::from_parts(head, Body::Stream(Box::new(body)))
     }
 }
@@ -304,6 +381,7 @@
             refusal: Refusal::unknown(reason),
             sent: true,
             elsewhere: true,
+            stale: false,
             verdict: Verdict::Failed,
         }
     }
@@ -322,6 +400,7 @@
             refusal,
             sent: false,
             elsewhere: true,
+            stale: false,
             verdict,
         }
     }
@@ -332,6 +411,7 @@
             refusal: Refusal::not_run(Reason::Timeout),
             sent: false,
             elsewhere: false,
+            stale: false,
             verdict: Verdict::Abandoned,
         }
     }
@@ -346,6 +426,7 @@
             refusal,
             sent,
             elsewhere: false,
+            stale: false,
             verdict: Verdict::Abandoned,
         }
     }
@@ -360,6 +441,7 @@
             refusal: Refusal::unknown(reason),
             sent: true,
             elsewhere: false,
+            stale: false,
             verdict: Verdict::Abandoned,
         }
     }
--- a/crates/daemon/src/request/gateway.rs
+++ b/crates/daemon/src/request/gateway.rs
@@ -248,7 +248,9 @@
             .flat_map(|query| query.split('&'))
             .find_map(|pair| pair.strip_prefix("client="));
         // The colons of an IPv6 address may be percent-encoded in a query.
-        let client = named.map_or(Ok(peer), |text| text.replace("%3A", ":").parse());
+        let client = named.map_or(Ok(peer), |text| {
+            text.to_ascii_lowercase().replace("%3a", ":").parse()
+        });
         match client {
             Ok(client) => refuse::look_up(&self.directory.look_up(client)),
             Err(_) => self.refuse(Refusal::not_run(Reason::Malformed), Label::default(), peer),
--- a/crates/daemon/src/request/metrics.rs
+++ b/crates/daemon/src/request/metrics.rs
@@ -2,7 +2,8 @@
 
 use azurenotch_wire::refusal::Refusal;
 use prometheus::{
-    Error, Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry,
+    Error, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
+    Registry,
 };
 use std::time::Duration;
 
@@ -21,6 +22,7 @@
     requests: IntCounterVec,
     refusals: IntCounterVec,
     retries: IntCounterVec,
+    broken: IntCounterVec,
     latency: HistogramVec,
     added: Histogram,
     /// Open connections of callers.
@@ -68,6 +70,7 @@
             requests: counters("requests", "Requests", &["route", "outcome"])?,
             refusals: counters("refusals", "Refused requests", &["reason", "workspace"])?,
             retries: counters("retries", "Attempts made again", &["route"])?,
+            broken: counters("broken_answers", "Answers whose body broke", &["route"])?,
             latency: HistogramVec::new(latency, &["route"])?,
             added: Histogram::with_opts(added)?,
             connections: IntGauge::new("azurenotch_connections", "Open caller connections")?,
@@ -76,6 +79,7 @@
         registry.register(Box::new(metrics.requests.clone()))?;
         registry.register(Box::new(metrics.refusals.clone()))?;
         registry.register(Box::new(metrics.retries.clone()))?;
+        registry.register(Box::new(metrics.broken.clone()))?;
         registry.register(Box::new(metrics.latency.clone()))?;
         registry.register(Box::new(metrics.added.clone()))?;
         registry.register(Box::new(metrics.connections.clone()))?;
@@ -101,6 +105,11 @@
         self.refusals.with_label_values(&[&reason, workspace]).inc();
     }
 
+    /// Returns the counter of answers whose body breaks after their header was passed on.
+    pub fn broken(&self, route: &str) -> IntCounter {
+        self.broken.with_label_values(&[route])
+    }
+
     /// Counts an attempt that is made again.
     pub fn retried(&self, route: &str) {
         self.retries.with_label_values(&[route]).inc();
--- a/crates/daemon/src/version/current.rs
+++ b/crates/daemon/src/version/current.rs
@@ -1,6 +1,6 @@
 //! What one configuration version gives a request.
 
-use crate::connection::pool::Pool;
+use crate::{connection::pool::Pool, request::clock::Clock};
 use azurenotch_config::{
     document::{Document, Server},
     snapshot::Snapshot,
@@ -16,6 +16,13 @@
 };
 use parking_lot::Mutex;
 use std::{sync::Arc, time::Duration};
+use tokio::{
+    sync::{Notify, Semaphore},
+    time::timeout,
+};
+
+/// Largest number of requests that wait for a free slot of one service.
+const MAX_WAITING: usize = 512;
 
 /// What one configuration version gives a request.
 #[derive(Debug)]
@@ -30,6 +37,9 @@
 #[derive(Debug)]
 pub struct Group {
     balance: Mutex<Balance>,
+    /// Tells the request that has waited longest that an attempt ended.
+    freed: Notify,
+    waiting: Semaphore,
 }
 
 /// A running attempt at a backend server, counted until it is dropped.
@@ -131,6 +141,8 @@
         }
         Arc::new(Self {
             balance: Mutex::new(Balance::new(candidates, seed)),
+            freed: Notify::new(),
+            waiting: Semaphore::new(MAX_WAITING),
         })
     }
 
@@ -155,6 +167,28 @@
     }
 }
 
+impl Group {
+    /// Waits for a free slot for at most `wait`, if not too many requests wait already.
+    pub async fn wait(
+        self: &Arc<Self>,
+        clock: &dyn Clock,
+        release: &Release,
+        wait: Duration,
+    ) -> Option<Place> {
+        let _waiting = self.waiting.try_acquire().ok()?;
+        let freed = async {
+            loop {
+                let freed = self.freed.notified();
+                if let Some(place) = self.pick(clock.now(), release, &[]) {
+                    return place;
+                }
+                freed.await;
+            }
+        };
+        timeout(wait, freed).await.ok()
+    }
+}
+
 impl Place {
     /// Returns the position of the backend server, to exclude it from further attempts.
     pub fn index(&self) -> usize {
@@ -178,6 +212,8 @@
         let (now, verdict, latency) = self.ended.unwrap_or(unknown);
         let mut balance = self.group.balance.lock();
         balance.end(self.index, now, verdict, latency);
+        drop(balance);
+        self.group.freed.notify_one();
     }
 }
 
--- a/crates/daemon/tests/attempts.rs
+++ b/crates/daemon/tests/attempts.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use support::{Backend, Caller, FILL, Fixture, Frozen, Reply, TIMEOUT, get, post};
+use support::{Backend, Caller, FILL, Fixture, Frozen, Reply, TIMEOUT, get, post, snapshot};
 use test_case::test_case;
 use tokio::{net::TcpSocket, time::advance};
 
@@ -185,3 +185,54 @@
     assert_eq!(backend.connections(), 2);
     assert_eq!(backend.drain().len(), 3);
 }
+
+/// Guards against a closed idle connection being taken for a failure of its backend server.
+#[tokio::test]
+async fn a_read_survives_closed_idle_connections() {
+    let answer = b"HTTP/1.1 200 OK\r\nazurenotch-request: {id}\r\ncontent-length: 2\r\n\r\nok";
+    let backend = Backend::start(|_| Reply::Raw(answer.to_vec())).await;
+    let fixture = Fixture::start(&[backend.address]).await;
+    for _ in 0..50 {
+        assert_eq!(fixture.call(&get("/read")).await.status(), 200);
+    }
+}
+
+/// Guards against a burst being refused although a slot becomes free at once, and against waiting
+/// for a slot without end.
+#[tokio::test(start_paused = true)]
+async fn a_request_waits_a_short_time_for_a_slot() {
+    let _frozen = Frozen::new();
+    let (release, gate) = std::sync::mpsc::channel::<()>();
+    let gate = std::sync::Mutex::new(gate);
+    let mut backend = Backend::start_blocking(move |_| {
+        let gate = gate.lock().expect("not poisoned");
+        gate.recv().expect("test runs");
+        right()
+    })
+    .await;
+    let fixture = Fixture::start(&[]).await;
+    let mut narrow = snapshot(&[backend.address], 2, false);
+    for server in narrow.document.servers.values_mut() {
+        server.slots = 1;
+    }
+    assert!(fixture.gateway.adopt(std::sync::Arc::new(narrow)));
+    advance(FILL).await;
+    let mut first = Caller::connect(fixture.address).await;
+    first.send(&get("/read")).await;
+    assert!(backend.seen.recv().await.is_some());
+    let mut second = Caller::connect(fixture.address).await;
+    second.send(&get("/read")).await;
+    fixture.waits_for(2).await;
+    release.send(()).expect("backend server runs");
+    assert_eq!(first.answer().await.expect("an answer").status(), 200);
+    assert!(backend.seen.recv().await.is_some());
+    fixture.waits_for(1).await;
+    first.send(&get("/read")).await;
+    fixture.waits_for(2).await;
+    advance(std::time::Duration::from_millis(100)).await;
+    let refused = first.answer().await.expect("a refusal");
+    assert_eq!(refused.refusal(), ("not-run", "overload"));
+    release.send(()).expect("backend server runs");
+    assert_eq!(second.answer().await.expect("an answer").status(), 200);
+    assert_eq!(backend.drain().len(), 0);
+}
--- a/crates/daemon/tests/transfers.rs
+++ b/crates/daemon/tests/transfers.rs
@@ -68,6 +68,27 @@
     }
 }
 
+/// Guards against a truncated answer that an HTTP/1.0 caller takes for a complete one, because the
+/// end of its connection is the end of the answer.
+#[tokio::test]
+async fn a_truncated_answer_resets_an_old_caller() {
+    let part =
+        b"HTTP/1.1 200 OK\r\nazurenotch-request: {id}\r\ntransfer-encoding: chunked\r\n\r\n4\r\npart\r\n";
+    let backend = Backend::start(|_| Reply::Raw(part.to_vec())).await;
+    let fixture = Fixture::start(&[backend.address]).await;
+    let mut caller = Caller::connect(fixture.address).await;
+    caller
+        .send(&get("/read").replace("HTTP/1.1", "HTTP/1.0"))
+        .await;
+    let mut text = Vec::new();
+    let error = caller
+        .stream
+        .read_to_end(&mut text)
+        .await
+        .expect_err("a reset");
+    assert_eq!(error.kind(), std::io::ErrorKind::ConnectionReset);
+}
+
 /// Guards against a withdrawn key that goes on receiving an answer.
 #[tokio::test]
 async fn a_withdrawal_breaks_a_running_answer() {
