--- /dev/null
+++ b/crates/daemon/src/request/attempt.rs
@@ -0,0 +1,289 @@
+//! Makes one attempt at a backend server.
+
+use crate::{
+    connection::pool::{self, Failed, Lease, Need, Pool},
+    request::{
+        forward::Job,
+        shift::Observation,
+        upload::{self, Upload},
+    },
+    version::current::Place,
+};
+use azurenotch_core::version::balance::Verdict;
+use azurenotch_wire::{
+    refusal::{self, Reason, Refusal},
+    time::Instant,
+};
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
+use hyper::body::{Body as _, Incoming};
+use std::{sync::Arc, time::Duration};
+use tokio::{select, time::timeout};
+use tokio_util::sync::CancellationToken;
+
+/// Time after which a caller may try again when all slots or connections are in use.
+pub(crate) const BUSY_RETRY: Duration = Duration::from_millis(200);
+
+/// Result of an attempt.
+type Result<T, E = Failure> = std::result::Result<T, E>;
+
+/// An answer's header with the connection that carries its body.
+#[derive(Debug)]
+pub(crate) struct Answer {
+    pub(crate) response: Response<Incoming>,
+    pub(crate) lease: Lease,
+    pub(crate) place: Place,
+}
+
+/// Why an attempt got no answer.
+#[derive(Debug)]
+pub(crate) struct Failure {
+    pub(crate) refusal: Refusal,
+    /// Whether a byte of the request may have been written.
+    pub(crate) sent: bool,
+    /// Whether another attempt may do better.
+    pub(crate) elsewhere: bool,
+    /// Whether the connection may have been closed before the attempt.
+    pub(crate) stale: bool,
+    verdict: Verdict,
+}
+
+impl Job<'_> {
+    /// Makes one attempt at a backend server.
+    pub(crate) async fn attempt(
+        &self,
+        mut place: Place,
+        pool: &Arc<Pool>,
+        number: u32,
+    ) -> Result<Answer> {
+        let started = self.gateway.clock.now();
+        let need = match (number, self.grant.route.idempotent) {
+            (0, true) => Need::Any,
+            (0, false) => Need::Proven,
+            _ => Need::Fresh,
+        };
+        let result = self.exchange(pool, need).await;
+        let now = self.gateway.clock.now();
+        let latency = now.since(started);
+        let verdict = match &result {
+            Ok((response, _)) if is_shed(response) => Verdict::Shed,
+            Ok((response, _)) if response.status().is_server_error() => Verdict::Failed,
+            Ok(_) => Verdict::Answered,
+            Err(failure) => failure.verdict,
+        };
+        place.end(now, verdict, latency);
+        if verdict != Verdict::Abandoned {
+            self.record(verdict != Verdict::Answered, latency);
+        }
+        result.map(|(response, lease)| Answer {
+            response,
+            lease,
+            place,
+        })
+    }
+
+    /// Sends the request once and checks the header of the answer.
+    async fn exchange(&self, pool: &Arc<Pool>, need: Need) -> Result<(Response<Incoming>, Lease)> {
+        let clock = &self.gateway.clock;
+        let withdrawn = self.withdrawn();
+        let mut lease = select! {
+            biased;
+            () = withdrawn.cancelled() => return Err(Failure::withdrawn(false)),
+            lease = self.lease(pool, need) => lease?,
+        };
+        let now = clock.now();
+        let left = self.deadline.left(now).ok_or_else(Failure::late)?;
+        let id = self.gateway.request_id();
+        let request = self.request(&id, now);
+        let response = select! {
+            biased;
+            () = withdrawn.cancelled() => return Err(Failure::withdrawn(true)),
+            sent = timeout(left, lease.send(request)) => match sent {
+                Ok(Ok(response)) => response,
+                Ok(Err(failed)) => return Err(self.lost(failed, lease.is_reused())),
+                Err(_) => return Err(self.timed_out()),
+            },
+        };
+        if !is_proper(&response, &id) {
+            return Err(Failure::server(Reason::BrokenAnswer));
+        }
+        lease.prove(clock.now());
+        Ok((response, lease))
+    }
+
+    async fn lease(&self, pool: &Arc<Pool>, need: Need) -> Result<Lease> {
+        let now = self.gateway.clock.now();
+        let left = self.deadline.left(now).ok_or_else(Failure::late)?;
+        pool.lease(now, need, left).await.map_err(|error| {
+            if self.deadline.left(self.gateway.clock.now()).is_none() {
+                Failure::late()
+            } else {
+                Failure::unreachable(&error)
+            }
+        })
+    }
+
+    fn request(&self, id: &str, now: Instant) -> Request<Upload> {
+        let mut request = Request::new(self.upload.upload());
+        *request.method_mut() = self.head.method.clone();
+        *request.uri_mut() = self.head.uri.clone();
+        let headers = request.headers_mut();
+        headers.clone_from(&self.head.headers);
+        set_id(headers, id);
+        let left = HeaderValue::from(self.deadline.header(now));
+        headers.insert(refusal::DEADLINE, left);
+        request
+    }
+
+    fn withdrawn(&self) -> CancellationToken {
+        let transfer = self.held.transfer.as_ref();
+        transfer.map_or_else(CancellationToken::new, |it| it.token().clone())
+    }
+
+    fn record(&self, failed: bool, latency: Duration) {
+        let holder = self.grant.holder.as_ref();
+        let observation = Observation {
+            service: &self.grant.route.service,
+            release: &self.release,
+            route: &self.grant.name,
+            workspace: holder.map(|holder| &holder.workspace),
+            failed,
+            latency,
+        };
+        let now = self.gateway.clock.now();
+        self.gateway.shift.record(now, &observation);
+    }
+
+    /// Explains a failure of the connection, which may be due to the caller's own body.
+    ///
+    /// A connection that was idle may have been closed meanwhile, which says nothing about the
+    /// backend server itself.
+    fn lost(&self, failed: Failed, reused: bool) -> Failure {
+        if let Some(error) = self.upload.error() {
+            return Failure::caller(error);
+        }
+        let stale = Failure {
+            stale: true,
+            verdict: Verdict::Abandoned,
+            ..Failure::server(Reason::LostServer)
+        };
+        match failed {
+            Failed::NotSent => Failure {
+                refusal: Refusal::not_run(Reason::NoServer),
+                sent: false,
+                ..stale
+            },
+            Failed::Sent(_) if reused => stale,
+            Failed::Sent(_) => Failure::server(Reason::LostServer),
+        }
+    }
+
+    fn timed_out(&self) -> Failure {
+        if self.upload.is_waiting() {
+            return Failure::caller(upload::Error::Stalled);
+        }
+        Failure {
+            elsewhere: false,
+            ..Failure::server(Reason::Timeout)
+        }
+    }
+}
+
+impl Failure {
+    /// The backend server may have run the request but did not answer it properly.
+    fn server(reason: Reason) -> Self {
+        Self {
+            refusal: Refusal::unknown(reason),
+            sent: true,
+            elsewhere: true,
+            stale: false,
+            verdict: Verdict::Failed,
+        }
+    }
+
+    fn unreachable(error: &pool::Error) -> Self {
+        let (refusal, verdict) = match error {
+            pool::Error::Busy { .. } => (
+                Refusal::not_run(Reason::Overload).retry_after(BUSY_RETRY),
+                Verdict::Abandoned,
+            ),
+            pool::Error::Connect { .. } | pool::Error::Slow { .. } | pool::Error::SetUp { .. } => {
+                (Refusal::not_run(Reason::NoServer), Verdict::Failed)
+            }
+        };
+        Self {
+            refusal,
+            sent: false,
+            elsewhere: true,
+            stale: false,
+            verdict,
+        }
+    }
+
+    /// The deadline passed before anything was sent.
+    fn late() -> Self {
+        Self {
+            refusal: Refusal::not_run(Reason::Timeout),
+            sent: false,
+            elsewhere: false,
+            stale: false,
+            verdict: Verdict::Abandoned,
+        }
+    }
+
+    fn withdrawn(sent: bool) -> Self {
+        let refusal = if sent {
+            Refusal::unknown(Reason::Withdrawn)
+        } else {
+            Refusal::not_run(Reason::Withdrawn)
+        };
+        Self {
+            refusal,
+            sent,
+            elsewhere: false,
+            stale: false,
+            verdict: Verdict::Abandoned,
+        }
+    }
+
+    fn caller(error: upload::Error) -> Self {
+        let reason = match error {
+            upload::Error::TooLarge => Reason::BodyTooLarge,
+            upload::Error::Stalled => Reason::SlowCaller,
+            upload::Error::Broken => Reason::Malformed,
+        };
+        Self {
+            refusal: Refusal::unknown(reason),
+            sent: true,
+            elsewhere: false,
+            stale: false,
+            verdict: Verdict::Abandoned,
+        }
+    }
+}
+
+fn set_id(headers: &mut HeaderMap, id: &str) {
+    // Host names are valid in a header; a request without an id would only fail the echo check.
+    if let Ok(value) = HeaderValue::from_str(id) {
+        headers.insert(refusal::REQUEST, value);
+    }
+}
+
+/// Returns whether an answer belongs to the request and its end can be told from a broken one.
+fn is_proper(response: &Response<Incoming>, id: &str) -> bool {
+    let echo = response.headers().get(refusal::REQUEST);
+    let body = response.body();
+    let framed = body.is_end_stream()
+        || body.size_hint().exact().is_some()
+        || response
+            .headers()
+            .contains_key(http::header::TRANSFER_ENCODING);
+    echo.is_some_and(|echo| echo.as_bytes() == id.as_bytes())
+        && framed
+        && response.status() != StatusCode::SWITCHING_PROTOCOLS
+}
+
+/// Returns whether a backend server declined the request because of its load.
+pub(crate) fn is_shed(response: &Response<Incoming>) -> bool {
+    response.status() == StatusCode::SERVICE_UNAVAILABLE
+        && response.headers().contains_key(http::header::RETRY_AFTER)
+}
--- a/crates/daemon/src/request/mod.rs
+++ b/crates/daemon/src/request/mod.rs
@@ -1,6 +1,7 @@
 //! The path of one request from a caller to a backend server and back.
 
 pub mod admission;
+mod attempt;
 pub mod body;
 pub mod clock;
 pub mod directory;
