feat(daemon): hedge reads on connections that went silent

A read on an idle connection whose middlebox had lost its state waited for its deadline. A read without a body on a reused connection is now sent again on a fresh one after the 99th percentile of the server's latency (at least 20 ms, 500 ms while unmeasured), within the retry budget; if the fresh one answers first, connections idle for as long are closed. Timeouts shorter than half of the route's no longer count against a backend server.

Latency was not measured.

--- a/crates/core/src/connection/mod.rs
+++ b/crates/core/src/connection/mod.rs
@@ -1,1 +1,3 @@
 //! State that lives as long as a connection.
+
+pub mod health;
--- a/crates/core/src/request/retry.rs
+++ b/crates/core/src/request/retry.rs
@@ -55,7 +55,12 @@
         if !attempt.sent {
             return true;
         }
-        let permitted = attempt.idempotent && self.tokens >= 1.0;
+        attempt.idempotent && self.hedge()
+    }
+
+    /// Returns whether an idempotent request may be sent a second time, and takes a token if so.
+    pub fn hedge(&mut self) -> bool {
+        let permitted = self.tokens >= 1.0;
         if permitted {
             self.tokens -= 1.0;
         }
--- a/crates/daemon/src/connection/pool.rs
+++ b/crates/daemon/src/connection/pool.rs
@@ -1,6 +1,7 @@
 //! Connections to one backend server.
 
 use crate::request::upload::Upload;
+use azurenotch_core::connection::health::Health;
 use azurenotch_wire::time::Instant;
 use http::{Request, Response};
 use hyper::{
@@ -86,6 +87,7 @@
     open: Arc<AtomicUsize>,
     /// Idle connections, the last used at the back.
     idle: Mutex<VecDeque<Link>>,
+    health: Mutex<Health>,
 }
 
 /// An open connection.
@@ -130,6 +132,7 @@
             limit: AtomicUsize::new(limit),
             open: Arc::default(),
             idle: Mutex::default(),
+            health: Mutex::new(Health::new(Instant::ZERO)),
         }
     }
 
@@ -154,6 +157,23 @@
         idle.retain(|link| !link.sender.is_closed() && now.since(link.proven) < MAX_IDLE);
     }
 
+    /// Records the time to the header of an answer.
+    pub fn record(&self, now: Instant, latency: Duration) {
+        self.health.lock().record(now, latency);
+    }
+
+    /// Returns the time without an answer after which a reused connection may be silent.
+    pub fn hedge_after(&self) -> Duration {
+        self.health.lock().hedge_after()
+    }
+
+    /// Closes the connections that have been idle since `proven` or longer.
+    ///
+    /// A connection that went silent while idle shows that those idle for longer are silent too.
+    pub fn close_idle(&self, proven: Instant) {
+        self.idle.lock().retain(|link| link.proven > proven);
+    }
+
     /// Returns an idle connection or opens one within `left`.
     ///
     /// # Errors
@@ -274,6 +294,11 @@
         self.reused
     }
 
+    /// Returns when the connection carried its last answer or was opened.
+    pub fn proven(&self) -> Instant {
+        self.link.proven
+    }
+
     /// Takes note that the connection carried a proper answer at `now`.
     pub fn prove(&mut self, now: Instant) {
         self.link.proven = now;
--- a/crates/daemon/src/request/attempt.rs
+++ b/crates/daemon/src/request/attempt.rs
@@ -16,7 +16,7 @@
 };
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
 use hyper::body::{Body as _, Incoming};
-use std::{sync::Arc, time::Duration};
+use std::{pin::pin, sync::Arc, time::Duration};
 use tokio::{select, time::timeout};
 use tokio_util::sync::CancellationToken;
 
@@ -81,32 +81,77 @@
         })
     }
 
-    /// Sends the request once and checks the header of the answer.
+    /// Sends the request and waits for the header of the answer.
     async fn exchange(&self, pool: &Arc<Pool>, need: Need) -> Result<(Response<Incoming>, Lease)> {
-        let clock = &self.gateway.clock;
         let withdrawn = self.withdrawn();
-        let mut lease = select! {
+        let lease = select! {
             biased;
             () = withdrawn.cancelled() => return Err(Failure::withdrawn(false)),
             lease = self.lease(pool, need) => lease?,
         };
-        let now = clock.now();
-        let left = self.deadline.left(now).ok_or_else(Failure::late)?;
-        let id = self.gateway.request_id();
-        let request = self.request(&id, now);
-        let response = select! {
+        let started = self.gateway.clock.now();
+        let left = self.deadline.left(started).ok_or_else(Failure::late)?;
+        let answered = select! {
             biased;
             () = withdrawn.cancelled() => return Err(Failure::withdrawn(true)),
-            sent = timeout(left, lease.send(request)) => match sent {
-                Ok(Ok(response)) => response,
-                Ok(Err(failed)) => return Err(self.lost(failed, lease.is_reused())),
-                Err(_) => return Err(self.timed_out()),
+            answered = timeout(left, self.send(pool, lease)) => answered,
+        };
+        let Ok(answered) = answered else {
+            return Err(self.timed_out(left));
+        };
+        let (response, mut lease) = answered?;
+        let now = self.gateway.clock.now();
+        pool.record(now, now.since(started));
+        lease.prove(now);
+        Ok((response, lease))
+    }
+
+    /// Sends the request, a second time if the connection may have gone silent.
+    async fn send(&self, pool: &Arc<Pool>, lease: Lease) -> Result<(Response<Incoming>, Lease)> {
+        let proven = lease.proven();
+        // A body cannot be sent on two connections.
+        let hedged = self.grant.route.idempotent && lease.is_reused() && self.upload.is_done();
+        let mut first = pin!(self.send_once(lease));
+        if !hedged {
+            return first.await;
+        }
+        if let Ok(answered) = timeout(pool.hedge_after(), &mut first).await {
+            return answered;
+        }
+        if !self.gateway.retry.lock().hedge() {
+            return first.await;
+        }
+        let mut second = pin!(async {
+            let lease = self.lease(pool, Need::Fresh).await?;
+            self.send_once(lease).await
+        });
+        select! {
+            answered = &mut first => match answered {
+                Ok(answer) => Ok(answer),
+                // The failure of the first sending is the one that may have run the request.
+                Err(failure) => second.await.map_err(|_unsent| failure),
             },
+            answered = &mut second => match answered {
+                Ok(answer) => {
+                    pool.close_idle(proven);
+                    Ok(answer)
+                }
+                Err(_) => first.await,
+            },
+        }
+    }
+
+    /// Sends the request on one connection and checks the header of the answer.
+    async fn send_once(&self, mut lease: Lease) -> Result<(Response<Incoming>, Lease)> {
+        let id = self.gateway.request_id();
+        let request = self.request(&id, self.gateway.clock.now());
+        let response = match lease.send(request).await {
+            Ok(response) => response,
+            Err(failed) => return Err(self.lost(failed, lease.is_reused())),
         };
         if !is_proper(&response, &id) {
             return Err(Failure::server(Reason::BrokenAnswer));
         }
-        lease.prove(clock.now());
         Ok((response, lease))
     }
 
@@ -177,14 +222,23 @@
         }
     }
 
-    fn timed_out(&self) -> Failure {
+    /// Explains that no answer came within `left`.
+    fn timed_out(&self, left: Duration) -> Failure {
         if self.upload.is_waiting() {
             return Failure::caller(upload::Error::Stalled);
         }
-        Failure {
+        let failure = Failure {
             elsewhere: false,
             ..Failure::server(Reason::Timeout)
+        };
+        // Callers with short timeouts of their own must not get a backend server ejected.
+        if left < self.grant.route.timeout / 2 {
+            return Failure {
+                verdict: Verdict::Abandoned,
+                ..failure
+            };
         }
+        failure
     }
 }
 
--- a/crates/daemon/tests/attempts.rs
+++ b/crates/daemon/tests/attempts.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use azurenotch_test_support::backend::{Behaviour, Server};
 use support::{Backend, Caller, FILL, Fixture, Frozen, Reply, TIMEOUT, get, post, snapshot};
 use test_case::test_case;
 use tokio::{net::TcpSocket, time::advance};
@@ -236,3 +237,40 @@
     assert_eq!(second.answer().await.expect("an answer").status(), 200);
     assert_eq!(backend.drain().len(), 0);
 }
+
+/// Guards against reads that wait for their deadline on connections that went silent while idle.
+#[tokio::test(start_paused = true)]
+async fn a_read_on_a_silent_connection_is_hedged() {
+    let _frozen = Frozen::new();
+    let slow = Behaviour {
+        latency: FILL,
+        ..Behaviour::default()
+    };
+    let backend = Server::start(slow).await.expect("free port");
+    let fixture = Fixture::start(&[backend.address()]).await;
+    advance(FILL).await;
+    let mut callers = Vec::new();
+    for _ in 0..3 {
+        let mut caller = Caller::connect(fixture.address).await;
+        caller.send(&get("/read")).await;
+        callers.push(caller);
+    }
+    backend.wait_for(|counter| counter.received == 3).await;
+    backend.change(|behaviour| behaviour.latency = std::time::Duration::ZERO);
+    advance(FILL).await;
+    for caller in &mut callers {
+        assert_eq!(caller.answer().await.expect("an answer").status(), 200);
+    }
+    fixture.waits_for(0).await;
+    backend.silence_connections();
+    let mut caller = Caller::connect(fixture.address).await;
+    caller.send(&get("/read")).await;
+    backend.wait_for(|counter| counter.silenced == 1).await;
+    advance(std::time::Duration::from_millis(500)).await;
+    assert_eq!(caller.answer().await.expect("an answer").status(), 200);
+    // The other idle connections were closed with the silent one, so nothing waits again.
+    for caller in &mut callers {
+        assert_eq!(caller.call(&get("/read")).await.status(), 200);
+    }
+    assert_eq!(backend.counter().silenced, 1);
+}
