feat(core): let each host's limit at a backend server follow what others leave free

Cause: an even split of the slots over all configured host slots refused 364 requests as overload in examples/demo although the servers were idle.

--- a/crates/core/src/version/balance/mod.rs
+++ b/crates/core/src/version/balance/mod.rs
@@ -1,12 +1,14 @@
 //! Chooses the backend server of a request.
 
 mod health;
+mod limit;
 
 use azurenotch_wire::{
     id::{Release, Server},
     time::Instant,
 };
 use health::Health;
+use limit::Limit;
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use std::time::Duration;
 
@@ -39,8 +41,10 @@
     pub release: Release,
     /// Distance from this host.
     pub tier: Tier,
-    /// Requests that this host may have running there.
+    /// Requests that it runs at the same time, for all hosts together.
     pub slots: u32,
+    /// Hosts that usually share its slots.
+    pub sharers: u32,
     /// Whether it takes no new work.
     pub draining: bool,
     /// Whether its caches may be cold, so that traffic to it ramps up.
@@ -86,6 +90,7 @@
     /// Whether the current configuration version lists the backend server.
     listed: bool,
     in_flight: u32,
+    limit: Limit,
     health: Health,
 }
 
@@ -146,6 +151,7 @@
     ) -> Option<Shift> {
         let may_eject = self.may_eject(now, index);
         let entry = &mut self.entries[index];
+        entry.limit.observe(verdict, entry.in_flight);
         entry.in_flight = entry.in_flight.saturating_sub(1);
         entry.health.observe(now, verdict, latency, may_eject)
     }
@@ -160,6 +166,7 @@
             candidate: candidate.clone(),
             listed: true,
             in_flight: 0,
+            limit: Limit::new(candidate),
             health: Health::new(now, candidate.cold),
         };
         match self
@@ -227,6 +234,11 @@
         if restarted {
             self.health = Health::new(now, true);
         }
+        let resized =
+            self.candidate.slots != candidate.slots || self.candidate.sharers != candidate.sharers;
+        if restarted || resized {
+            self.limit = Limit::new(candidate);
+        }
         self.candidate = candidate.clone();
         self.listed = true;
     }
@@ -243,12 +255,12 @@
             Tier::Local => 1.0,
             Tier::Region | Tier::Remote => OVERFLOW_SHARE,
         };
-        let slots = f64::from(self.candidate.slots) * share * self.health.ramp(now);
+        let slots = self.limit.slots() * share * self.health.ramp(now);
         f64::from(self.in_flight) < slots.max(1.0)
     }
 
     fn cost(&self, now: Instant) -> f64 {
-        let slots = f64::from(self.candidate.slots.max(1)) * self.health.ramp(now);
+        let slots = self.limit.slots() * self.health.ramp(now);
         f64::from(self.in_flight + 1) / slots * self.health.latency().as_secs_f64()
     }
 }
@@ -275,6 +287,7 @@
             release: "1".into(),
             tier,
             slots: 4,
+            sharers: 1,
             draining: false,
             cold: false,
         }
@@ -398,6 +411,36 @@
         assert_eq!(pick(&mut balance, Instant::ZERO).as_deref(), Some("fast"));
     }
 
+    #[test]
+    fn hosts_share_slots_and_use_idle_ones_of_others() {
+        let shared = Candidate {
+            sharers: 4,
+            ..candidate("a", Tier::Local)
+        };
+        let mut balance = Balance::new(&[shared], 1);
+        assert!(pick(&mut balance, Instant::ZERO).is_some());
+        assert_eq!(
+            pick(&mut balance, Instant::ZERO),
+            None,
+            "one of four slots to begin with"
+        );
+        for _ in 0..8 {
+            balance.end(0, Instant::ZERO, Verdict::Answered, LATENCY);
+            while pick(&mut balance, Instant::ZERO).is_some() {}
+        }
+        assert_eq!(
+            balance.in_flight(),
+            4,
+            "all slots, since the server sheds nothing"
+        );
+        balance.end(0, Instant::ZERO, Verdict::Shed, LATENCY);
+        assert_eq!(
+            pick(&mut balance, Instant::ZERO),
+            None,
+            "the other hosts use their slots"
+        );
+    }
+
     #[test]
     fn indices_of_running_requests_survive_an_update() {
         let mut balance = Balance::new(&[candidate("a", Tier::Local)], 1);
--- a/crates/daemon/src/connection/pool.rs
+++ b/crates/daemon/src/connection/pool.rs
@@ -1,6 +1,7 @@
 //! Connections to one backend server.
 
 use crate::request::upload::Upload;
+use azurenotch_core::connection::health::Health;
 use azurenotch_wire::time::Instant;
 use http::{Request, Response};
 use hyper::{
@@ -74,6 +75,8 @@
     Any,
     /// One that carried an answer within [`PROVEN_FOR`], or a fresh one.
     Proven,
+    /// A fresh one.
+    Fresh,
 }
 
 /// Connections to one backend server.
@@ -84,6 +87,7 @@
     open: Arc<AtomicUsize>,
     /// Idle connections, the last used at the back.
     idle: Mutex<VecDeque<Link>>,
+    health: Mutex<Health>,
 }
 
 /// An open connection.
@@ -105,6 +109,7 @@
 pub struct Lease {
     pool: Arc<Pool>,
     link: Link,
+    reused: bool,
 }
 
 impl Drop for Link {
@@ -127,6 +132,7 @@
             limit: AtomicUsize::new(limit),
             open: Arc::default(),
             idle: Mutex::default(),
+            health: Mutex::new(Health::new(Instant::ZERO)),
         }
     }
 
@@ -151,6 +157,23 @@
         idle.retain(|link| !link.sender.is_closed() && now.since(link.proven) < MAX_IDLE);
     }
 
+    /// Records the time to the header of an answer.
+    pub fn record(&self, now: Instant, latency: Duration) {
+        self.health.lock().record(now, latency);
+    }
+
+    /// Returns the time without an answer after which a reused connection may be silent.
+    pub fn hedge_after(&self) -> Duration {
+        self.health.lock().hedge_after()
+    }
+
+    /// Closes the connections that have been idle since `proven` or longer.
+    ///
+    /// A connection that went silent while idle shows that those idle for longer are silent too.
+    pub fn close_idle(&self, proven: Instant) {
+        self.idle.lock().retain(|link| link.proven > proven);
+    }
+
     /// Returns an idle connection or opens one within `left`.
     ///
     /// # Errors
@@ -163,28 +186,30 @@
         left: Duration,
     ) -> Result<Lease> {
         if let Some(link) = self.reuse(now, need) {
-            return Ok(self.lend(link));
+            return Ok(self.lend(link, true));
         }
         let open = self.reserve().ok_or(Error::Busy {
             address: self.address,
         })?;
         let link = self.connect(now, open, left.min(CONNECT_TIMEOUT)).await?;
-        Ok(self.lend(link))
+        Ok(self.lend(link, false))
     }
 
-    fn lend(self: &Arc<Self>, link: Link) -> Lease {
+    fn lend(self: &Arc<Self>, link: Link, reused: bool) -> Lease {
         Lease {
             pool: Arc::clone(self),
             link,
+            reused,
         }
     }
 
     fn reuse(&self, now: Instant, need: Need) -> Option<Link> {
-        let mut idle = self.idle.lock();
         let age = match need {
             Need::Any => MAX_IDLE,
             Need::Proven => PROVEN_FOR,
+            Need::Fresh => return None,
         };
+        let mut idle = self.idle.lock();
         let mut position = idle.len();
         while position > 0 {
             position -= 1;
@@ -264,6 +289,16 @@
         })
     }
 
+    /// Returns whether the connection carried an earlier request.
+    pub fn is_reused(&self) -> bool {
+        self.reused
+    }
+
+    /// Returns when the connection carried its last answer or was opened.
+    pub fn proven(&self) -> Instant {
+        self.link.proven
+    }
+
     /// Takes note that the connection carried a proper answer at `now`.
     pub fn prove(&mut self, now: Instant) {
         self.link.proven = now;
@@ -271,7 +306,7 @@
 
     /// Returns the connection to its pool for the next request.
     pub fn release(self) {
-        let Self { pool, link } = self;
+        let Self { pool, link, .. } = self;
         let above = pool.open() > pool.limit.load(Ordering::Relaxed);
         if !above && !link.sender.is_closed() {
             pool.idle.lock().push_back(link);
