feat(cli): add the operators' command line

Operators had no program for the interface of a host.

The binary `azurenotch` checks, compares and applies documents, shows hosts and their state, grants, withdraws and lists keys, starts and cancels version moves, drains backend servers and merges the timelines of all hosts, also as an HTML page. A change is sent once: only a host that takes no connection is skipped, and a lost answer is reported as unknown. `--wait` asks every host for its version.

Nothing was measured.

--- /dev/null
+++ b/crates/cli/src/command/document.rs
@@ -0,0 +1,134 @@
+//! `check`, `diff` and `apply`.
+
+use crate::{
+    answer::Answer,
+    client::Client,
+    confirm,
+    error::{Error, InvalidSnafu, ReadSnafu, Result},
+    option::Wait,
+};
+use azurenotch_config::{
+    change::Change,
+    diff::{Difference, diff as differences},
+    document::Document,
+    ini::Invalid,
+    setting::Setting,
+    snapshot::Snapshot,
+};
+use azurenotch_wire::version::Version;
+use serde::Serialize;
+use serde_json::json;
+use snafu::ResultExt;
+use std::{fs, path::Path};
+
+/// Checks a document or the settings of a daemon.
+pub(super) fn check(file: &Path, settings: bool) -> Result<Answer> {
+    let text = read(file)?;
+    let (subject, result) = if settings {
+        ("settings are", Setting::parse(&text).map(drop))
+    } else {
+        ("document is", Document::parse(&text).map(drop))
+    };
+    Ok(match result {
+        Ok(()) => Answer::new(
+            format!("{}: the {subject} valid.", file.display()),
+            json!({ "valid": true, "errors": [] }),
+        ),
+        Err(invalid) => rejected(file, &invalid),
+    })
+}
+
+/// Shows what a document would change.
+pub(super) async fn diff(client: &Client, file: &Path) -> Result<Answer> {
+    let document = match Document::parse(&read(file)?) {
+        Ok(document) => document,
+        Err(invalid) => return Ok(rejected(file, &invalid)),
+    };
+    let snapshot = client.get::<Snapshot>("/v1/snapshot").await?;
+    Ok(Comparison::new(&snapshot, &document, file).into())
+}
+
+/// Replaces the document in force.
+pub(super) async fn apply(
+    client: &Client,
+    file: &Path,
+    expect: Version,
+    wait: Wait,
+) -> Result<Answer> {
+    let text = read(file)?;
+    let document = match Document::parse(&text) {
+        Ok(document) => document,
+        Err(invalid) => return Ok(rejected(file, &invalid)),
+    };
+    match client.change(&Change::Apply { text, expect }).await {
+        Ok(accepted) => {
+            let version = accepted.version;
+            let text = format!("{} is accepted as version {version}.", file.display());
+            Ok(confirm::report(client, text, version, wait).await)
+        }
+        Err(error @ Error::Conflict { .. }) => {
+            // The conflict stands, also when the comparison cannot be shown.
+            let Ok(snapshot) = client.get::<Snapshot>("/v1/snapshot").await else {
+                return Err(error);
+            };
+            let comparison = Comparison::new(&snapshot, &document, file);
+            Ok(Answer::from(comparison).failure(Some(error)))
+        }
+        Err(error) => Err(error),
+    }
+}
+
+/// Differences between the document in force and a file.
+#[derive(Debug, Serialize)]
+struct Comparison<'a> {
+    version: Version,
+    differences: Vec<Difference>,
+    #[serde(skip)]
+    file: &'a Path,
+}
+
+impl<'a> Comparison<'a> {
+    fn new(snapshot: &Snapshot, document: &Document, file: &'a Path) -> Self {
+        Self {
+            version: snapshot.version,
+            differences: differences(&snapshot.document, document),
+            file,
+        }
+    }
+}
+
+impl From<Comparison<'_>> for Answer {
+    fn from(comparison: Comparison<'_>) -> Self {
+        let (version, file) = (comparison.version, comparison.file.display());
+        let mut text = if comparison.differences.is_empty() {
+            format!("{file} does not differ from version {version}.\n")
+        } else {
+            format!("{file} changes version {version}:\n")
+        };
+        let lines = comparison.differences.iter();
+        text.extend(lines.map(|difference| format!("  {difference}\n")));
+        Self::new(text, comparison)
+    }
+}
+
+fn rejected(file: &Path, invalid: &Invalid) -> Answer {
+    let path = file.display();
+    let lines = invalid.errors.iter().map(|error| {
+        let (line, kind) = (error.line, &error.kind);
+        format!("{path}:{line}: {kind}\n")
+    });
+    let errors = invalid.errors.iter().map(|error| {
+        let detail = error.kind.to_string();
+        json!({ "line": error.line, "detail": detail })
+    });
+    let json = json!({ "valid": false, "errors": errors.collect::<Vec<_>>() });
+    let failure = InvalidSnafu {
+        path: file,
+        errors: invalid.errors.len(),
+    };
+    Answer::new(lines.collect::<String>(), json).failure(failure.fail::<()>().err())
+}
+
+fn read(file: &Path) -> Result<String> {
+    fs::read_to_string(file).context(ReadSnafu { path: file })
+}
--- /dev/null
+++ b/crates/cli/src/command/mod.rs
@@ -0,0 +1,54 @@
+//! The commands.
+
+mod document;
+mod drain;
+mod host;
+mod key;
+mod rollout;
+mod timeline;
+
+use crate::{
+    answer::Answer,
+    client::Client,
+    error::{Error, Result},
+    option::{self, Command, Options},
+};
+use bpaf::doc::Section;
+
+/// Runs a command.
+pub async fn run(options: &Options) -> Answer {
+    answer(options).await.unwrap_or_else(Answer::from)
+}
+
+async fn answer(options: &Options) -> Result<Answer, Error> {
+    match &options.command {
+        Command::Check { settings, file } => return document::check(file, *settings),
+        Command::Manual => return Ok(manual()),
+        _ => {}
+    }
+    let client = Client::new(options.hosts())?;
+    match &options.command {
+        Command::Check { .. } | Command::Manual => Ok(Answer::default()),
+        Command::Diff { file } => document::diff(&client, file).await,
+        Command::Apply { expect, wait, file } => {
+            document::apply(&client, file, *expect, *wait).await
+        }
+        Command::Status => host::status(&client).await,
+        Command::Hosts => host::hosts(&client).await,
+        Command::Key(key) => key::run(&client, key).await,
+        Command::Move(rollout) => rollout::run(&client, rollout).await,
+        Command::Drain { undo, wait, server } => drain::run(&client, server, !undo, *wait).await,
+        Command::Timeline(timeline) => timeline::run(&client, timeline).await,
+    }
+}
+
+fn manual() -> Answer {
+    let page = option::options().render_manpage(
+        "azurenotch",
+        Section::General,
+        None,
+        None,
+        Some("azurenotch operators' manual"),
+    );
+    Answer::new(page.clone(), page)
+}
