--- a/crates/cli/src/command/host.rs
+++ b/crates/cli/src/command/host.rs
@@ -17,8 +17,9 @@
         [] => "none".to_owned(),
         roles => roles.join(", "),
     };
-    let table = Table::new(["host", status.host.as_str()]);
+    let table = Table::new(["field", "value"]);
     let rows = [
+        ("host", status.host.to_string()),
         ("incarnation", status.incarnation.to_string()),
         ("data centre", status.data_centre.to_string()),
         ("state", status.state.to_string()),
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -90,8 +90,8 @@
         missing: usize,
         hosts: usize,
     },
-    /// The list of hosts was never read.
-    #[snafu(display("version {version} is accepted; the list of hosts cannot be read"))]
+    /// No list of hosts was read, or only an empty one.
+    #[snafu(display("version {version} is accepted; no list of its hosts can be read"))]
     NoHosts { version: Version },
     /// The service has no version move.
     #[snafu(display("service {service} has no version move"))]
