feat(cli): ask only the named host for its timeline and shorten lane names

It now asks the named host only. The picture cuts names that do not fit beside their lane; the hover text has the whole name.

Nothing was measured.

--- a/crates/cli/src/command/timeline.rs
+++ b/crates/cli/src/command/timeline.rs
@@ -35,7 +35,9 @@
 
 /// Merges the events of all hosts and shows those that pass the filters.
 pub(super) async fn run(client: &Client, options: &Timeline) -> Result<Answer> {
-    let peers = client.get::<Vec<Peer>>("/v1/hosts").await?;
+    let mut peers = client.get::<Vec<Peer>>("/v1/hosts").await?;
+    let wanted = options.host_name.as_ref();
+    peers.retain(|peer| wanted.is_none_or(|host| peer.host == *host));
     let end = Instant::now() + COLLECT_TIMEOUT;
     let answers = confirm::ask_all::<Events>(peers, "/v1/events?after=0", READ_TIMEOUT, end).await;
     let mut unreachable = Vec::new();
@@ -100,11 +102,7 @@
 fn passes(event: &Event, options: &Timeline) -> bool {
     let workspace = options.workspace.as_ref().map(Workspace::as_str);
     let service = options.service.as_ref().map(Service::as_str);
-    options
-        .host_name
-        .as_ref()
-        .is_none_or(|host| event.host == *host)
-        && workspace.is_none_or(|name| concerns(&event.kind, "workspace", name))
+    workspace.is_none_or(|name| concerns(&event.kind, "workspace", name))
         && service.is_none_or(|name| concerns(&event.kind, "service", name))
 }
 
--- a/crates/cli/src/page.rs
+++ b/crates/cli/src/page.rs
@@ -15,6 +15,8 @@
 const WIDTH: f64 = 1200.0;
 /// Left part of the picture, which holds the names of the hosts.
 const MARGIN: f64 = 170.0;
+/// Characters of a host's name that fit beside its lane; the hover text has all of them.
+const NAME: usize = 22;
 /// Free space at the right, so that the last mark and label are not cut off.
 const RIGHT: f64 = 60.0;
 /// Height of one lane in pixels.
@@ -86,8 +88,13 @@
     let mut lanes = BTreeMap::new();
     for (index, host) in hosts.into_iter().enumerate() {
         let y = LANE * (index as f64 + 0.5);
-        let (name, end) = (Escaped(host), WIDTH - RIGHT);
-        writeln!(page, "<text x=\"4\" y=\"{}\">{name}</text>", y + 4.0)?;
+        let short = host.as_str().chars().take(NAME).collect::<String>();
+        let (short, name, end) = (Escaped(short), Escaped(host), WIDTH - RIGHT);
+        writeln!(
+            page,
+            "<text x=\"4\" y=\"{}\">{short}<title>{name}</title></text>",
+            y + 4.0
+        )?;
         writeln!(
             page,
             "<line x1=\"{MARGIN}\" y1=\"{y}\" x2=\"{end}\" y2=\"{y}\"/>"
