--- a/crates/cli/src/option.rs
+++ b/crates/cli/src/option.rs
@@ -5,13 +5,16 @@
     id::{Host, Release, Server, Service, Workspace},
     version::Version,
 };
-use bpaf::Bpaf;
+use bpaf::{Bpaf, ShellComp};
 use snafu::Snafu;
 use std::{net::SocketAddr, path::PathBuf, time::Duration};
 
 /// Time for which `--wait` waits if `--timeout` is not given.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Files that shells offer for a FILE argument.
+const FILES: ShellComp = ShellComp::File { mask: None };
+
 /// Checks and changes the configuration of azurenotch and shows the state of its hosts.
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(
@@ -22,8 +25,7 @@
     )
 )]
 pub struct Options {
-    /// Operators' interface of a host as IP:PORT; may be repeated, the next host is tried when one
-    /// cannot be reached; the environment variable holds a list separated by commas
+    /// Operators' interface of a host, IP:PORT; repeat it to name hosts to try next
     #[bpaf(
         long("host"),
         env("AZURENOTCH_HOST"),
@@ -59,14 +61,14 @@
         /// Check the settings of a daemon instead
         settings: bool,
         /// File to check (INI)
-        #[bpaf(positional("FILE"))]
+        #[bpaf(positional("FILE"), complete_shell(FILES))]
         file: PathBuf,
     },
     /// Show what a document would change
     #[bpaf(command)]
     Diff {
         /// Document (INI)
-        #[bpaf(positional("FILE"))]
+        #[bpaf(positional("FILE"), complete_shell(FILES))]
         file: PathBuf,
     },
     /// Replace the document in force
@@ -79,7 +81,7 @@
         #[bpaf(external)]
         wait: Wait,
         /// Document (INI)
-        #[bpaf(positional("FILE"))]
+        #[bpaf(positional("FILE"), complete_shell(FILES))]
         file: PathBuf,
     },
     /// Show the state of one host
@@ -121,7 +123,7 @@
     #[bpaf(command)]
     Grant {
         /// Grant the key in this file instead of a new one
-        #[bpaf(argument("FILE"))]
+        #[bpaf(argument("FILE"), complete_shell(FILES), optional)]
         key_file: Option<PathBuf>,
         /// Workspace whose requests the key admits
         #[bpaf(positional::<String>("WORKSPACE"), parse(value))]
@@ -210,7 +212,7 @@
     #[bpaf(argument("N"))]
     pub since_seconds: Option<u64>,
     /// Write an HTML page to this file
-    #[bpaf(argument("FILE"))]
+    #[bpaf(argument("FILE"), complete_shell(FILES), optional)]
     pub html: Option<PathBuf>,
 }
 
--- a/crates/cli/tests/command.rs
+++ b/crates/cli/tests/command.rs
@@ -40,8 +40,8 @@
 #[test_case(Case { args: "key withdraw ctt app", asks: "withdraw key app of workspace ctt", prints: "Key app of workspace ctt is withdrawn in version 1.7.\n" }; "key withdraw")]
 #[test_case(Case { args: "move status", asks: "GET /v1/snapshot", prints: "\
 SERVICE   MOVE  FROM  TO  STATE    SHARE  WITHIN  NOTE
-consulta  1     1     2   running  0.0 %  7200s   \n" }; "move status")]
-#[test_case(Case { args: "move start consulta 2 --within 90m", asks: "move service consulta to version 2 within 5400s", prints: "Service consulta moves to version 2 within 5400s, from configuration 1.7.\n" }; "move start")]
+consulta  1     1     2   running  0.0 %  2h      \n" }; "move status")]
+#[test_case(Case { args: "move start consulta 2 --within 90m", asks: "move service consulta to version 2 within 5400s", prints: "Service consulta moves to version 2 within 90m, from configuration 1.7.\n" }; "move start")]
 #[test_case(Case { args: "move cancel consulta", asks: "cancel the move of service consulta", prints: "The move of service consulta is cancelled in configuration 1.7.\n" }; "move cancel")]
 #[test_case(Case { args: "drain c1", asks: "drain backend server c1", prints: "Backend server c1 takes no new work from version 1.7.\n" }; "drain")]
 #[test_case(Case { args: "drain --undo c1", asks: "end the drain of backend server c1", prints: "The drain of backend server c1 ends in version 1.7.\n" }; "end of a drain")]
@@ -142,5 +142,9 @@
     for args in ["status", "drain c1"] {
         assert_eq!(run(&[address, host.address], args).await.code, 0);
     }
-    assert_eq!(host.seen().len(), 2);
+    let variable = format!("AZURENOTCH_HOST={address},{} hosts", host.address);
+    assert_eq!(run(&[], &variable).await.code, 0);
+    // An address among the arguments replaces those of the environment.
+    assert_eq!(run(&[address], &variable).await.code, 4);
+    assert_eq!(host.seen().len(), 3);
 }
--- a/crates/cli/tests/exit_code.rs
+++ b/crates/cli/tests/exit_code.rs
@@ -51,6 +51,7 @@
 #[test_case("--help", 0, ""; "help")]
 #[test_case("--version", 0, ""; "version of the program")]
 #[test_case("manual", 0, ""; "manual page")]
+#[test_case("--bpaf-complete-style-bash", 0, ""; "completion")]
 #[tokio::test]
 async fn arguments_decide_the_exit_code(args: &str, code: i32, error: &str) {
     let run = run(&[], args).await;
--- a/crates/cli/tests/support/mod.rs
+++ b/crates/cli/tests/support/mod.rs
@@ -250,14 +250,19 @@
     pub stderr: String,
 }
 
-/// Runs the binary towards these hosts; the arguments are separated by spaces.
+/// Runs the binary towards these hosts; `args` are separated by spaces and may set the variable.
 pub async fn run(hosts: &[SocketAddr], args: &str) -> Run {
     let mut command = Command::new(env!("CARGO_BIN_EXE_azurenotch"));
     command.env_remove("AZURENOTCH_HOST");
     for host in hosts {
         command.arg("--host").arg(host.to_string());
     }
-    command.args(args.split_whitespace());
+    for word in args.split_whitespace() {
+        match word.split_once('=') {
+            Some((name @ "AZURENOTCH_HOST", value)) => command.env(name, value),
+            _ => command.arg(word),
+        };
+    }
     let output = tokio::task::spawn_blocking(move || command.output());
     let output = output.await.unwrap().unwrap();
     Run {
--- a/crates/config/src/diff.rs
+++ b/crates/config/src/diff.rs
@@ -161,7 +161,7 @@
 }
 
 /// Returns the shortest exact notation of a duration.
-fn duration(duration: Duration) -> String {
+pub fn duration(duration: Duration) -> String {
     let millis = duration.as_millis();
     let units = [("h", 3_600_000), ("m", 60_000), ("s", 1000)];
     match units
