feat(cli): list the accepted changes after the expected version in a conflict

A conflict showed the differences between the file and the document in force, but not which changes led there. `apply` now also reads the timelines and lists the changes that were accepted after the expected version.

--- a/crates/cli/src/command/document.rs
+++ b/crates/cli/src/command/document.rs
@@ -1,5 +1,6 @@
 //! `check`, `diff` and `apply`.
 
+use super::timeline;
 use crate::{
     answer::Answer,
     client::Client,
@@ -15,7 +16,7 @@
     setting::Setting,
     snapshot::Snapshot,
 };
-use azurenotch_wire::version::Version;
+use azurenotch_wire::{event::Kind, version::Version};
 use serde::Serialize;
 use serde_json::json;
 use snafu::ResultExt;
@@ -71,18 +72,42 @@
             let Ok(snapshot) = client.get::<Snapshot>("/v1/snapshot").await else {
                 return Err(error);
             };
-            let comparison = Comparison::new(&snapshot, &document, file);
+            let mut comparison = Comparison::new(&snapshot, &document, file);
+            comparison.changes = changes_since(client, expect).await.unwrap_or_default();
             Ok(Answer::from(comparison).failure(Some(error)))
         }
         Err(error) => Err(error),
     }
 }
 
+/// A change as the timeline describes it.
+#[derive(Debug, Serialize)]
+struct Accepted {
+    version: Version,
+    change: String,
+}
+
+/// Returns the accepted changes after a version, as far as the hosts remember them.
+async fn changes_since(client: &Client, expect: Version) -> Result<Vec<Accepted>> {
+    let events = timeline::collect(client, None).await?.events;
+    let changes = events.into_iter().filter_map(|event| match event.kind {
+        Kind::Accepted { version, change } if version > expect => {
+            // The line comes from another host; a control character could move the cursor.
+            let change = change.replace(char::is_control, " ");
+            Some(Accepted { version, change })
+        }
+        _ => None,
+    });
+    Ok(changes.collect())
+}
+
 /// Differences between the document in force and a file.
 #[derive(Debug, Serialize)]
 struct Comparison<'a> {
     version: Version,
     differences: Vec<Difference>,
+    /// Accepted changes after the expected version; empty unless there is a conflict.
+    changes: Vec<Accepted>,
     #[serde(skip)]
     file: &'a Path,
 }
@@ -92,6 +117,7 @@
         Self {
             version: snapshot.version,
             differences: differences(&snapshot.document, document),
+            changes: Vec::new(),
             file,
         }
     }
@@ -107,6 +133,11 @@
         };
         let lines = comparison.differences.iter();
         text.extend(lines.map(|difference| format!("  {difference}\n")));
+        if !comparison.changes.is_empty() {
+            text.push_str("Changes that were accepted after the expected version:\n");
+        }
+        let lines = comparison.changes.iter();
+        text.extend(lines.map(|accepted| format!("  {}  {}\n", accepted.version, accepted.change)));
         Self::new(text, comparison)
     }
 }
--- a/crates/cli/src/command/timeline.rs
+++ b/crates/cli/src/command/timeline.rs
@@ -28,16 +28,15 @@
 
 /// Events in their order, and the hosts that did not answer.
 #[derive(Debug, Serialize)]
-struct Report {
-    events: Vec<Event>,
+pub(super) struct Report {
+    pub(super) events: Vec<Event>,
     unreachable: Vec<Host>,
 }
 
-/// Merges the events of all hosts and shows those that pass the filters.
-pub(super) async fn run(client: &Client, options: &Timeline) -> Result<Answer> {
+/// Merges the events of all hosts, or those of one host.
+pub(super) async fn collect(client: &Client, only: Option<&Host>) -> Result<Report> {
     let mut peers = client.get::<Vec<Peer>>("/v1/hosts").await?;
-    let wanted = options.host_name.as_ref();
-    peers.retain(|peer| wanted.is_none_or(|host| peer.host == *host));
+    peers.retain(|peer| only.is_none_or(|host| peer.host == *host));
     let end = Instant::now() + COLLECT_TIMEOUT;
     let answers = confirm::ask_all::<Events>(peers, "/v1/events?after=0", READ_TIMEOUT, end).await;
     let mut unreachable = Vec::new();
@@ -48,12 +47,26 @@
             Err(_) => unreachable.push(peer.host),
         }
     }
-    let mut events = merge(lists);
+    Ok(Report {
+        events: merge(lists),
+        unreachable,
+    })
+}
+
+/// Merges the events of all hosts and shows those that pass the filters.
+pub(super) async fn run(client: &Client, options: &Timeline) -> Result<Answer> {
+    let mut report = collect(client, options.host_name.as_ref()).await?;
     let since = since(options.since_seconds);
-    events.retain(|event| event.stamp.wall_ms >= since && passes(event, options));
+    report
+        .events
+        .retain(|event| event.stamp.wall_ms >= since && passes(event, options));
+    let Report {
+        events,
+        unreachable,
+    } = &report;
     let mut text = String::new();
     if let Some(path) = &options.html {
-        let html = page::html(&events, &unreachable);
+        let html = page::html(events, unreachable);
         fs::write(path, html).context(WriteSnafu { path })?;
         text = format!(
             "{} events are written to {}.\n",
@@ -63,19 +76,13 @@
     } else if events.is_empty() {
         text.push_str("There are no such events.\n");
     } else {
-        text.push_str(&table(&events).to_string());
+        text.push_str(&table(events).to_string());
     }
     let missing = unreachable.iter();
     text.extend(
         missing.map(|host| format!("Host {host} does not answer; its events are missing.\n")),
     );
-    Ok(Answer::new(
-        text,
-        Report {
-            events,
-            unreachable,
-        },
-    ))
+    Ok(Answer::new(text, report))
 }
 
 fn table(events: &[Event]) -> Table {
--- a/crates/cli/tests/confirm.rs
+++ b/crates/cli/tests/confirm.rs
@@ -2,10 +2,10 @@
 
 mod support;
 
-use azurenotch_wire::{event::Reachability, operator::Accepted};
+use azurenotch_wire::event::Reachability;
 use serde_json::Value;
 use std::net::SocketAddr;
-use support::{DOCUMENT, Host, Reply, closed, file, json, peer, run, status, version};
+use support::{DOCUMENT, Host, Reply, accepted, closed, contains, file, json, peer, run, status};
 use test_case::test_case;
 
 /// Starts a host that reports a number of version for each question about its status.
@@ -20,9 +20,7 @@
 /// Starts a host that accepts changes as version 1.7 and lists itself and another host.
 async fn listing(other: SocketAddr, state: Reachability, number: u64) -> Host {
     Host::start(move |seen, _| match seen.line.as_str() {
-        "POST /v1/change" => json(Accepted {
-            version: version(7),
-        }),
+        "POST /v1/change" => accepted(),
         "GET /v1/hosts" => json([peer("n2", other, state, number)]),
         _ => Reply::Hangup,
     })
@@ -37,9 +35,9 @@
     let args = format!("apply {path} --expect 1.6 --wait --timeout 1m");
     let run = run(&[host.address], &args).await;
     assert_eq!((run.code, run.stderr.as_str()), (0, ""), "{}", run.stdout);
-    assert!(
-        run.stdout
-            .contains("HOST  VERSION  STATE\nn2    1.7      in force\n")
+    contains(
+        &run.stdout,
+        "HOST  VERSION  STATE\nn2    1.7      in force\n",
     );
     assert!(
         run.stdout
@@ -96,11 +94,7 @@
     let host = listing(other.address, Reachability::Live, 6).await;
     let run = run(&[host.address], "drain c1 --wait --timeout 300ms").await;
     assert_eq!(run.code, 1);
-    assert!(
-        run.stdout.contains("n2    1.6      unreachable"),
-        "{}",
-        run.stdout
-    );
+    contains(&run.stdout, "n2    1.6      unreachable");
 }
 
 /// Guards against an empty list of hosts that counts as a confirmation.
@@ -109,17 +103,11 @@
 #[tokio::test]
 async fn no_list_of_hosts_confirms_nothing(list: Reply) {
     let host = Host::start(move |seen, _| match seen.line.as_str() {
-        "POST /v1/change" => json(Accepted {
-            version: version(7),
-        }),
+        "POST /v1/change" => accepted(),
         _ => list.clone(),
     })
     .await;
     let run = run(&[host.address], "drain c1 --wait --timeout 300ms").await;
     assert_eq!(run.code, 1, "{run:?}");
-    assert!(
-        run.stderr.contains("version 1.7 is accepted"),
-        "{}",
-        run.stderr
-    );
+    contains(&run.stderr, "version 1.7 is accepted");
 }
--- a/crates/cli/tests/exit_code.rs
+++ b/crates/cli/tests/exit_code.rs
@@ -3,11 +3,16 @@
 mod support;
 
 use azurenotch_cli::client::{Failure, call};
+use azurenotch_wire::{
+    event::{Kind, Reachability},
+    operator::Events,
+};
 use bytes::Bytes;
 use http::Method;
 use std::time::Duration;
 use support::{
-    DOCUMENT, Host, Reply, accepting, closed, file, json, problem, run, snapshot, version,
+    DOCUMENT, Host, Reply, accepting, closed, contains, event, file, json, peer, problem, run,
+    snapshot, version,
 };
 use test_case::test_case;
 
@@ -32,12 +37,8 @@
         "{}",
         run.stderr
     );
-    assert!(run.stderr.contains(error), "{}", run.stderr);
-    assert!(
-        run.stderr.contains(&host.address.to_string()),
-        "{}",
-        run.stderr
-    );
+    contains(&run.stderr, error);
+    contains(&run.stderr, &host.address.to_string());
     assert_eq!(run.stderr.lines().count(), 1);
 }
 
@@ -56,7 +57,7 @@
 async fn arguments_decide_the_exit_code(args: &str, code: i32, error: &str) {
     let run = run(&[], args).await;
     assert_eq!(run.code, code, "{run:?}");
-    assert!(run.stderr.contains(error), "{}", run.stderr);
+    contains(&run.stderr, error);
     assert_eq!(run.stderr.is_empty(), code == 0);
 }
 
@@ -67,7 +68,7 @@
         let run = run(&[first, second], args).await;
         assert_eq!(run.code, 4, "{}", run.stderr);
         for host in [first, second] {
-            assert!(run.stderr.contains(&host.to_string()), "{}", run.stderr);
+            contains(&run.stderr, &host.to_string());
         }
     }
 }
@@ -100,8 +101,26 @@
 /// Guards against a conflict that does not tell the operator what to look at.
 #[tokio::test]
 async fn a_conflict_shows_the_document_in_force() {
-    let host = Host::start(|seen, _| match seen.line.as_str() {
+    let accepted = |number, change: &str| {
+        let change = change.to_owned();
+        let version = version(number);
+        event("n1", number, 0, Kind::Accepted { version, change })
+    };
+    let events = vec![
+        accepted(4, "too old"),
+        accepted(5, "grant key a to workspace ctt"),
+    ];
+    let other = Host::start(move |_, _| {
+        json(Events {
+            events: events.clone(),
+            next: 5,
+        })
+    })
+    .await;
+    let list = [peer("n1", other.address, Reachability::Live, 6)];
+    let host = Host::start(move |seen, _| match seen.line.as_str() {
         "POST /v1/change" => problem(409, "conflict", Some(version(6))),
+        "GET /v1/hosts" => json(&list),
         _ => json(snapshot()),
     })
     .await;
@@ -111,12 +130,12 @@
     );
     let run = run(&[host.address], &format!("apply {path} --expect 1.4")).await;
     assert_eq!(run.code, 3);
-    assert!(run.stdout.contains("changes version 1.6"), "{}", run.stdout);
     assert!(
-        run.stdout.contains("[workspace ctt] burst: 40 -> 50"),
-        "{}",
         run.stdout
+            .ends_with("expected version:\n  1.5  grant key a to workspace ctt\n")
     );
+    contains(&run.stdout, "changes version 1.6");
+    contains(&run.stdout, "[workspace ctt] burst: 40 -> 50");
 }
 
 #[test_case("check ../../deploy/aprel.ini", "document"; "aprel")]
@@ -125,7 +144,7 @@
 async fn check_accepts_the_deployments(args: &str, kind: &str) {
     let run = run(&[], args).await;
     assert_eq!((run.code, run.stderr.as_str()), (0, ""));
-    assert!(run.stdout.contains(&format!("the {kind} is valid")));
+    contains(&run.stdout, &format!("the {kind} is valid"));
 }
 
 /// Guards against an error that cannot be found in the file, and against sending a broken file.
@@ -145,7 +164,7 @@
         let run = run(&[host.address], &format!("{command} {path}")).await;
         assert_eq!(run.code, 1);
         for line in &wrong {
-            assert!(run.stdout.contains(line), "{line}: {}", run.stdout);
+            contains(&run.stdout, line);
         }
     }
     assert!(host.seen().is_empty());
@@ -158,5 +177,5 @@
     let path = file(&format!("settings-{code}.ini"), text);
     let run = run(&[], &format!("check --settings {path}")).await;
     assert_eq!(run.code, code);
-    assert!(run.stdout.contains(prints), "{}", run.stdout);
+    contains(&run.stdout, prints);
 }
--- a/crates/cli/tests/support/mod.rs
+++ b/crates/cli/tests/support/mod.rs
@@ -7,10 +7,7 @@
     snapshot::{KeyHash, Snapshot},
 };
 use azurenotch_wire::{
-    event::Reachability,
-    id::Incarnation,
-    operator::{Accepted, Peer, Problem, Status},
-    peer::State,
+    event::{Event, Kind, Reachability},
     time::Stamp,
     version::Version,
 };
@@ -20,6 +17,7 @@
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
 use serde::Serialize;
+use serde_json::{Value, json};
 use std::{
     io,
     net::SocketAddr,
@@ -156,42 +154,52 @@
 }
 
 pub fn problem(status: u16, code: &str, current: Option<Version>) -> Reply {
-    let problem = Problem {
-        code: code.to_owned(),
-        detail: "first line\nsecond line".to_owned(),
-        current,
-    };
-    Reply::Answer(status, serde_json::to_string(&problem).unwrap())
+    let detail = "first line\nsecond line";
+    let problem = json!({ "code": code, "detail": detail, "current": current });
+    Reply::Answer(status, problem.to_string())
 }
 
 pub fn version(number: u64) -> Version {
     Version { epoch: 1, number }
 }
 
-pub fn status(host: &str, number: u64) -> Status {
-    Status {
-        host: host.into(),
-        incarnation: Incarnation(3),
-        data_centre: "norte-1".into(),
-        state: State::Live,
-        version: version(number),
-        store_contact_ms: Some(120),
-        in_flight: 5,
-        roles: vec!["budget".to_owned(), "planner".to_owned()],
-    }
+/// Answer to a change that is accepted as version 1.7.
+pub fn accepted() -> Reply {
+    json(json!({ "version": version(7) }))
+}
+
+pub fn status(host: &str, number: u64) -> Value {
+    json!({
+        "host": host, "incarnation": 3, "data_centre": "norte-1", "state": "live",
+        "version": version(number), "store_contact_ms": 120, "in_flight": 5,
+        "roles": ["budget", "planner"],
+    })
 }
 
-pub fn peer(host: &str, operator: SocketAddr, state: Reachability, number: u64) -> Peer {
-    Peer {
-        host: host.into(),
-        data_centre: "norte-1".into(),
-        address: "127.0.0.1:8080".parse().unwrap(),
-        operator,
-        state,
-        version: version(number),
+pub fn peer(host: &str, operator: SocketAddr, state: Reachability, number: u64) -> Value {
+    json!({
+        "host": host, "data_centre": "norte-1", "address": "127.0.0.1:8080",
+        "operator": operator, "state": state, "version": version(number),
+    })
+}
+
+pub fn event(host: &str, sequence: u64, wall_ms: u64, kind: Kind) -> Event {
+    let stamp = Stamp::default().tick(wall_ms);
+    let host = host.into();
+    Event {
+        stamp,
+        host,
+        sequence,
+        kind,
     }
 }
 
+/// Checks that a text contains a part, and shows the text otherwise.
+#[track_caller]
+pub fn contains(text: &str, part: &str) {
+    assert!(text.contains(part), "no {part:?} in {text}");
+}
+
 /// Snapshot at version 1.6 with two keys, one of them withdrawn, and a running move.
 pub fn snapshot() -> Snapshot {
     let grant = |name: &str| Change::GrantKey {
@@ -228,9 +236,7 @@
 pub async fn accepting() -> Host {
     let operator = "127.0.0.1:9".parse().unwrap();
     Host::start(move |seen, _| match seen.line.as_str() {
-        "POST /v1/change" => json(Accepted {
-            version: version(7),
-        }),
+        "POST /v1/change" => accepted(),
         "GET /v1/status" => json(status("n1", 6)),
         "GET /v1/snapshot" => json(snapshot()),
         "GET /v1/hosts" => json([
--- a/crates/cli/tests/timeline.rs
+++ b/crates/cli/tests/timeline.rs
@@ -7,11 +7,10 @@
     event::{Event, Kind, Reachability},
     id::Incarnation,
     operator::Events,
-    time::Stamp,
 };
 use serde_json::Value;
 use std::net::SocketAddr;
-use support::{Host, closed, file, json, peer, run};
+use support::{Host, closed, event, file, json, peer, run};
 use test_case::test_case;
 
 /// Wall clock of the first event: 2026-12-04 00:00:00 UTC.
@@ -20,18 +19,6 @@
 const FUTURE: u64 = 32_503_680_000_000;
 const HOSTILE: &str = "n2<script>alert('&\"')</script>";
 
-fn event(host: &str, sequence: u64, wall_ms: u64, kind: Kind) -> Event {
-    Event {
-        stamp: Stamp {
-            wall_ms,
-            logical: 0,
-        },
-        host: host.into(),
-        sequence,
-        kind,
-    }
-}
-
 fn accepted(change: &str) -> Kind {
     Kind::Accepted {
         version: support::version(7),
