test(cli): run all tests in one program with a file name per test case

Two cases of the key test wrote the same file at the same time, so that one could have read it while it was empty; no such failure was seen. Each file now has its own number, and one test program needs no exception for unused functions of the stand-in.

--- a/crates/cli/tests/command.rs
+++ b/crates/cli/tests/cli/command.rs
@@ -1,10 +1,8 @@
 //! Requests that the commands send, and what they print.
 
-mod support;
-
+use crate::support::{DOCUMENT, Host, Reply, accepting, closed, file, problem, run, version};
 use azurenotch_config::{change::Change, snapshot::KeyHash};
 use serde_json::Value;
-use support::{DOCUMENT, Host, Reply, accepting, closed, file, problem, run};
 use test_case::test_case;
 
 struct Case {
@@ -87,7 +85,7 @@
     );
     let done = run(&[host.address], &format!("apply {path} --expect 1.6")).await;
     assert_eq!(done.stdout, format!("{path} is accepted as version 1.7.\n"));
-    let expect = support::version(6);
+    let expect = version(6);
     assert_eq!(host.changes(), [Change::Apply { text, expect }]);
 }
 
@@ -121,8 +119,7 @@
 #[tokio::test]
 async fn an_existing_key_is_never_shown(key: &'static str, reply: Reply, code: i32) {
     let host = Host::start(move |_, _| reply.clone()).await;
-    let name = format!("key-{code}-{}", key.len());
-    let path = file(&name, &format!("{key}\n"));
+    let path = file("key", &format!("{key}\n"));
     let args = format!("key grant ctt app --key-file {path}");
     for args in [args.clone(), format!("--json {args}")] {
         let run = run(&[host.address], &args).await;
--- a/crates/cli/tests/confirm.rs
+++ b/crates/cli/tests/cli/confirm.rs
@@ -1,11 +1,11 @@
 //! Waiting until a version is in force everywhere.
 
-mod support;
-
+use crate::support::{
+    DOCUMENT, Host, Reply, accepted, closed, contains, file, json, peer, run, status,
+};
 use azurenotch_wire::event::Reachability;
 use serde_json::Value;
 use std::net::SocketAddr;
-use support::{DOCUMENT, Host, Reply, accepted, closed, contains, file, json, peer, run, status};
 use test_case::test_case;
 
 /// Starts a host that reports a number of version for each question about its status.
--- a/crates/cli/tests/exit_code.rs
+++ b/crates/cli/tests/cli/exit_code.rs
@@ -1,7 +1,9 @@
 //! Exit codes and errors.
 
-mod support;
-
+use crate::support::{
+    DOCUMENT, Host, Reply, accepting, closed, contains, event, file, json, peer, problem, run,
+    snapshot, version,
+};
 use azurenotch_cli::client::{Failure, call};
 use azurenotch_wire::{
     event::{Kind, Reachability},
@@ -10,10 +12,6 @@
 use bytes::Bytes;
 use http::Method;
 use std::time::Duration;
-use support::{
-    DOCUMENT, Host, Reply, accepting, closed, contains, event, file, json, peer, problem, run,
-    snapshot, version,
-};
 use test_case::test_case;
 
 /// Guards against an exit code that misleads a script, and errors of several lines.
@@ -174,7 +172,7 @@
 #[test_case("[host]\nname = n1\ndata-centre = norte-1\nlisten = 127.0.0.1:1\npeer = 127.0.0.1:2\noperator = 127.0.0.1:3\n[platform]\ntable = http://127.0.0.1:4\nstore = http://127.0.0.1:4\nroster = http://127.0.0.1:4\n", 0, "settings are valid"; "complete")]
 #[tokio::test]
 async fn check_reads_the_settings_of_a_daemon(text: &str, code: i32, prints: &str) {
-    let path = file(&format!("settings-{code}.ini"), text);
+    let path = file("settings.ini", text);
     let run = run(&[], &format!("check --settings {path}")).await;
     assert_eq!(run.code, code);
     contains(&run.stdout, prints);
--- /dev/null
+++ b/crates/cli/tests/cli/main.rs
@@ -0,0 +1,7 @@
+//! The binary against a stand-in for the operators' interface.
+
+mod command;
+mod confirm;
+mod exit_code;
+mod support;
+mod timeline;
--- a/crates/cli/tests/support/mod.rs
+++ b/crates/cli/tests/cli/support.rs
@@ -1,7 +1,5 @@
 //! Stand-in for the operators' interface of a host, and runs of the binary against it.
 
-#![allow(dead_code, reason = "each test program uses a part of the stand-in")]
-
 use azurenotch_config::{
     change::Change,
     snapshot::{KeyHash, Snapshot},
@@ -22,7 +20,10 @@
     io,
     net::SocketAddr,
     process::Command,
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU32, Ordering::Relaxed},
+    },
     time::Duration,
 };
 use tokio::net::{TcpListener, TcpSocket};
@@ -278,13 +279,11 @@
     }
 }
 
-/// Writes a file of this test program and returns its path.
+/// Writes a file of its own for a test and returns its path.
 pub fn file(name: &str, text: &str) -> String {
-    let path = format!(
-        "{}/cli-{}-{name}",
-        env!("CARGO_TARGET_TMPDIR"),
-        std::process::id()
-    );
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let (folder, process) = (env!("CARGO_TARGET_TMPDIR"), std::process::id());
+    let path = format!("{folder}/{process}-{}-{name}", NEXT.fetch_add(1, Relaxed));
     std::fs::write(&path, text).unwrap();
     path
 }
--- a/crates/cli/tests/timeline.rs
+++ b/crates/cli/tests/cli/timeline.rs
@@ -1,7 +1,6 @@
 //! The merged timeline in its formats.
 
-mod support;
-
+use crate::support::{Host, closed, event, file, json, peer, run, version};
 use azurenotch_core::process::timeline::merge;
 use azurenotch_wire::{
     event::{Event, Kind, Reachability},
@@ -10,7 +9,6 @@
 };
 use serde_json::Value;
 use std::net::SocketAddr;
-use support::{Host, closed, event, file, json, peer, run};
 use test_case::test_case;
 
 /// Wall clock of the first event: 2026-12-04 00:00:00 UTC.
@@ -21,7 +19,7 @@
 
 fn accepted(change: &str) -> Kind {
     Kind::Accepted {
-        version: support::version(7),
+        version: version(7),
         change: change.to_owned(),
     }
 }
