--- a/crates/cli/src/page.rs
+++ b/crates/cli/src/page.rs
@@ -106,25 +106,26 @@
         let Some((y, marks)) = lanes.get_mut(&event.host) else {
             continue;
         };
-        let (x, y) = (
-            scale.x(event.stamp.wall_ms),
-            *y + 8.0 * ((*marks % ROWS) as f64 - 1.0),
-        );
+        let row = (*marks % ROWS) as f64 - 1.0;
         *marks += 1;
-        let (name, colour) = style(&event.kind);
-        writeln!(
-            page,
-            "<circle class=\"event\" data-kind=\"{name}\" cx=\"{x:.1}\" cy=\"{y:.1}\" r=\"5\" \
-             fill=\"{colour}\"><title>{} {}: {}</title></circle>",
-            time(event.stamp),
-            Escaped(&event.host),
-            Escaped(&event.kind)
-        )?;
+        mark(page, event, scale.x(event.stamp.wall_ms), *y + 8.0 * row)?;
     }
     page.push_str("</svg>\n");
     Ok(())
 }
 
+fn mark(page: &mut String, event: &Event, x: f64, y: f64) -> fmt::Result {
+    let (name, colour) = style(&event.kind);
+    writeln!(
+        page,
+        "<circle class=\"event\" data-kind=\"{name}\" cx=\"{x:.1}\" cy=\"{y:.1}\" r=\"5\" \
+         fill=\"{colour}\"><title>{} {}: {}</title></circle>",
+        time(event.stamp),
+        Escaped(&event.host),
+        Escaped(&event.kind)
+    )
+}
+
 /// Places times on the width of the picture.
 #[derive(Debug, Clone, Copy)]
 struct Scale {
