fix(core): compare latency at full share only with a large slowdown

Cause: once all traffic uses the new version there is nothing of the same moment to compare with; in examples/demo a good version with 56 of 1833 slow answers was taken back at full share while the machine was busy. Change: without recent requests to the running version the usual share of slow answers counts four times; a version that is slow for most requests is still caught.

--- a/crates/core/src/version/rollout/sprt.rs
+++ b/crates/core/src/version/rollout/sprt.rs
@@ -14,6 +14,11 @@
 const SLOW_ASSUMED: f64 = 0.05;
 /// Requests of the running version from which its own share is used.
 const OLD_MIN: u64 = 50;
+/// Factor of the usual share of slow answers while the running version gets no requests.
+///
+/// Without requests of the same moment to compare with, a busy host makes answers of either version
+/// slow: a good version with 10 % slow answers was taken back at full share.
+const UNPAIRED_SLACK: f64 = 4.0;
 /// Share of the running version above which the versions cannot be compared.
 const USUAL_MAX: f64 = 0.9;
 
@@ -102,23 +107,24 @@
     fn usual(&self, pair: &Pair) -> Option<(f64, f64)> {
         let recent = difference(&pair.old, &self.base_old);
         // The load may have changed since earlier rounds.
-        let old = if recent.requests >= OLD_MIN {
-            recent
-        } else {
-            pair.old
+        let is_paired = recent.requests >= OLD_MIN;
+        let old = if is_paired { recent } else { pair.old };
+        let slack = match self.measure {
+            Measure::Latency if !is_paired => UNPAIRED_SLACK,
+            Measure::Latency | Measure::Failures => 1.0,
         };
         if old.requests < OLD_MIN {
             let assumed = match self.measure {
                 Measure::Failures => FAILURES_ASSUMED,
                 Measure::Latency => SLOW_ASSUMED,
             };
-            return Some((assumed, assumed));
+            return Some((assumed * slack, assumed * slack));
         }
         let requests = old.requests as f64;
         let share = (self.hits(&old) as f64 + 0.5) / (requests + 1.0);
         let error = (share * (1.0 - share) / requests).sqrt();
-        let high = share + error;
-        (high <= USUAL_MAX).then_some(((share - error).max(0.0), high))
+        let high = (share + error) * slack;
+        (high <= USUAL_MAX).then_some(((share - error).max(0.0) * slack, high))
     }
 
     fn hits(&self, count: &Count) -> u64 {
--- a/crates/core/src/version/rollout/tests.rs
+++ b/crates/core/src/version/rollout/tests.rs
@@ -220,6 +220,28 @@
     assert!(misses as f64 <= MISS * RUNS as f64, "{misses} misses");
 }
 
+/// Guards against a good version that is taken back at full share because its hosts are busier,
+/// and against a slow one that is not.
+#[test_case(0.12, Verdict::Good; "busy hosts")]
+#[test_case(0.60, Verdict::Bad; "slow version")]
+fn without_the_running_version_only_a_large_slowdown_is_a_fault(slow: f64, expected: Verdict) {
+    let mut random = SmallRng::seed_from_u64(0x736c_6f77);
+    let mut pair = Pair::default();
+    for _ in 0..1_000 {
+        add(&mut pair.old, false, random.random_bool(0.05));
+    }
+    let mut test = Test::new(Measure::Latency, 1);
+    test.restart(&pair);
+    let verdicts = std::iter::from_fn(|| {
+        add(&mut pair.new, false, random.random_bool(slow));
+        Some(test.judge(&pair))
+    });
+    let verdict = verdicts
+        .take(1_000)
+        .find(|verdict| *verdict != Verdict::Open);
+    assert_eq!(verdict, Some(expected));
+}
+
 /// State of a planner case: a move with the share in force since 0 s, decided at `stage`.
 struct Case {
     share: f64,
