--- a/crates/core/src/version/mod.rs
+++ b/crates/core/src/version/mod.rs
@@ -1,3 +1,4 @@
 //! State that lives as long as one configuration version.
 
 pub mod rollout;
+pub mod steering;
