--- a/crates/core/src/version/rollout/planner.rs
+++ b/crates/core/src/version/rollout/planner.rs
@@ -128,6 +128,10 @@
         latest: &Move,
         paces: &[(Workspace, Pace)],
     ) -> Option<Change> {
+        // Reports may be ahead of the snapshot that this host has adopted.
+        if self.serial != latest.serial {
+            return None;
+        }
         let sums = self.sums();
         let all = sums.values().fold(Pair::default(), sum);
         self.observe(now, latest, &sums, &all);
--- a/crates/core/src/version/rollout/tests.rs
+++ b/crates/core/src/version/rollout/tests.rs
@@ -316,3 +316,39 @@
         assert_eq!(again, [], "warns once");
     }
 }
+
+/// Guards against a later move's fault that ends the move in the planner's older snapshot.
+#[test]
+fn reports_of_a_later_move_wait_for_its_snapshot() {
+    let fault = Fault {
+        route: "labels".into(),
+        measure: Measure::Failures,
+        pair: Pair::default(),
+    };
+    let mut planner = Planner::new();
+    planner.on_report(
+        at(0),
+        Report {
+            host: "n1".into(),
+            service: "consulta".into(),
+            release: "3".into(),
+            serial: 2,
+            routes: Map::default(),
+            fault: Some(fault),
+        },
+    );
+    let mut snapshot = Snapshot {
+        moves: BTreeMap::from([("consulta".into(), shift(1, 0.1))]),
+        ..Snapshot::default()
+    };
+    assert_eq!(planner.decide(at(1), 1_000, &snapshot), []);
+    snapshot.moves = BTreeMap::from([("consulta".into(), shift(2, 0.1))]);
+    assert!(matches!(
+        planner.decide(at(2), 2_000, &snapshot)[..],
+        [Change::EndMove {
+            serial: 2,
+            done: false,
+            ..
+        }]
+    ));
+}
