--- a/crates/core/src/version/mod.rs
+++ b/crates/core/src/version/mod.rs
@@ -2,3 +2,4 @@
 
 pub mod balance;
 pub mod rollout;
+pub mod steering;
