--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -1,6 +1,7 @@
 //! Configuration of azurenotch: INI documents, snapshots, changes and daemon settings.
 
 pub mod change;
+pub mod delta;
 pub mod diff;
 pub mod document;
 pub mod ini;
