--- a/crates/test-support/examples/capacity.rs
+++ b/crates/test-support/examples/capacity.rs
@@ -13,6 +13,7 @@
     pub mod report;
     pub mod request;
     pub mod roles;
+    pub mod steering;
     pub mod synthetic;
     pub mod table;
 }
@@ -52,6 +53,7 @@
     capacity::configuration::run(&mut report)?;
     capacity::budget::run(&mut report)?;
     capacity::request::run(&mut report);
+    capacity::steering::run(&mut report)?;
     capacity::table::run(&mut report);
     capacity::roles::run(&mut report);
     report.write(&folder)
--- a/crates/test-support/examples/capacity/holders.rs
+++ b/crates/test-support/examples/capacity/holders.rs
@@ -97,45 +97,41 @@
     }
 }
 
-/// Works out the planner.
+/// Works out the planner with evidence from every host and with sums of data centres.
 pub fn planner(report: &mut Report) {
-    let one = HOSTS * report.fact("exchange.us") / 2.0;
-    let summed = DATA_CENTRES * report.fact("exchange.us") / 2.0;
-    let one_bytes = HOSTS * report.fact("exchange.bytes");
-    let summed_bytes = DATA_CENTRES * report.fact("exchange.bytes");
+    let fact = |name: &str| report.fact(name);
+    // A heartbeat's exchange with the answer as an acknowledgement and the report in its place.
+    let bytes = fact("exchange.bytes") - 2.0 * fact("heartbeat.bytes") + fact("evidence.bytes");
+    let message = fact("exchange.us") / 2.0 + fact("planner.take.us");
+    let decide =
+        |reporters: f64| fact("planner.decide.start") + reporters * fact("planner.decide.us");
+    let levels = [
+        ("From every host (as designed)", HOSTS),
+        ("Summed by each data centre", DATA_CENTRES),
+    ];
+    let rows = levels.map(|(name, reporters)| {
+        let cpu = reporters * message + decide(reporters);
+        (name, cpu, reporters * bytes)
+    });
     head(report);
-    row(
-        report,
-        "Evidence from every host, each second",
-        "3,100 x exchange / 2",
-        one,
-        Limit::Processor,
-    );
-    row(
-        report,
-        "Evidence from every host, each second",
-        "3,100 x exchange bytes",
-        one_bytes,
-        Limit::Network,
-    );
-    row(
-        report,
-        "Evidence summed by each data centre",
-        "24 x exchange / 2",
-        summed,
-        Limit::Processor,
-    );
-    row(
-        report,
-        "Evidence summed by each data centre",
-        "24 x exchange bytes",
-        summed_bytes,
-        Limit::Network,
-    );
-    report.line(
-        "\nThe exchange stands for the smallest message. The test itself (`version::rollout`) and \
-         steering are not measured yet: neither is in this tree.",
-    );
+    for (name, cpu, bytes) in rows {
+        let formula = "reporters x (exchange / 2 + report) + decide";
+        row(
+            report,
+            &format!("{name}, one move"),
+            formula,
+            cpu,
+            Limit::Processor,
+        );
+        let formula = "reporters x (report + HTTP + segments)";
+        row(
+            report,
+            &format!("{name}, one move"),
+            formula,
+            bytes,
+            Limit::Network,
+        );
+    }
 }
 
 /// Works out the host that accepts changes.
--- a/crates/test-support/examples/capacity/limits.rs
+++ b/crates/test-support/examples/capacity/limits.rs
@@ -188,6 +188,13 @@
         number(missed / 15_000.0),
         number(wire / 15_000.0),
     ));
+    let object = report.fact("object.bytes");
+    report.line(&format!(
+        "- First load of the client blocks from an object of their own: {} s at 15 KB/s, and {} s \
+         of processor time to build the table.",
+        grouped(object / 15_000.0),
+        number(report.fact("look-up.build.us") / 1e6),
+    ));
 }
 
 /// Lists the fleet sizes at which today's code meets each limit, smallest first.
--- a/crates/test-support/examples/capacity/roles.rs
+++ b/crates/test-support/examples/capacity/roles.rs
@@ -16,6 +16,8 @@
 pub const ACTIVE_HOST: f64 = 100.0;
 pub const ACTIVE_CENTRE: f64 = 1_000.0;
 pub const DAY: f64 = 86_400.0;
+/// Look-ups a second over the fleet.
+const LOOK_UPS: f64 = 1_300_000.0;
 /// Candidates of a lease, if not every host watches it.
 pub const CANDIDATES: f64 = 3.0;
 /// Bytes of the seven segments that open and close a connection, 52 bytes of headers each.
@@ -106,10 +108,14 @@
     host_memory(report);
     let room = Limit::Network.value() - heartbeat_bytes(report) - report.fact("exchange.bytes");
     let room = (room - report.fact("report.bytes.start")) / report.fact("report.bytes");
+    let look_ups = LOOK_UPS / HOSTS;
     report.line(&format!(
         "\nThe network budget leaves room for reports of {} active workspaces a host and second. \
-         Look-ups: not measured yet (`core::version::steering` is not in this tree).",
-        grouped(room.floor())
+         Look-ups are not control work: {} a second at each host take {} us/s, {} % of a core.",
+        grouped(room.floor()),
+        number(look_ups),
+        number(look_ups * report.fact("look-up.us")),
+        number(look_ups * report.fact("look-up.us") / 1e4),
     ));
 }
 
@@ -130,6 +136,11 @@
             "(apply + adoption) x 1,600 / 86,400",
             (fact("delta.apply.us") + fact("adoption.us")) * changes,
         ),
+        (
+            "Groups for look-ups, each second",
+            "point at 3,100",
+            fact("groups.us"),
+        ),
         (
             "Shares",
             "(usage + grant) at 10,000 workspaces",
@@ -146,7 +157,7 @@
     sum(
         report,
         &items,
-        "without look-ups, host list and `Peers::publish`",
+        "without host list and `Peers::publish`",
         Limit::Processor,
     );
     let item = "Today: host list, all of it every 5 s";
@@ -211,6 +222,11 @@
             "line at 3,100 + full ring",
             fact("membership.bytes") + fact("timeline.bytes"),
         ),
+        (
+            "Look-up table",
+            "point at 1.9 million blocks",
+            fact("look-up.bytes"),
+        ),
         (
             "Shares and keys",
             "10,000 workspaces, 20,000 keys",
@@ -218,12 +234,7 @@
         ),
     ];
     let blocks = fact("blocks-memory") * BLOCKS as f64;
-    sum(
-        report,
-        &items,
-        "without steering table and requests",
-        Limit::Memory,
-    );
+    sum(report, &items, "without requests", Limit::Memory);
     let item = "Today: client blocks in the snapshot";
     row(
         report,
--- a/crates/test-support/examples/capacity/synthetic.rs
+++ b/crates/test-support/examples/capacity/synthetic.rs
@@ -252,7 +252,7 @@
 }
 
 /// Returns the /24 block with a number.
-fn block(index: usize) -> IpNet {
+pub fn block(index: usize) -> IpNet {
     let address = Ipv4Addr::from(0x0100_0000 + ((index as u32) << 8));
     Ipv4Net::new(address, 24)
         .expect("24 is a prefix length")
