--- a/crates/test-support/examples/capacity/report.rs
+++ b/crates/test-support/examples/capacity/report.rs
@@ -113,6 +113,9 @@
         return "0".to_owned();
     }
     let magnitude = value.abs().log10().floor() as i32;
+    if magnitude < -4 {
+        return format!("{value:.2e}");
+    }
     if magnitude < 3 {
         let digits = (2 - magnitude).clamp(0, 6) as usize;
         return format!("{value:.digits$}");
