--- a/crates/test-support/examples/capacity/request.rs
+++ b/crates/test-support/examples/capacity/request.rs
@@ -147,6 +147,7 @@
             _ => Tier::Remote,
         },
         slots: 9,
+        sharers: 1,
         draining: false,
         cold: false,
     };
