--- a/crates/core/src/process/budget/division.rs
+++ b/crates/core/src/process/budget/division.rs
@@ -1,5 +1,6 @@
 //! Division of one workspace's elastic capacity by demand.
 
+use super::share::DEMAND_DECAY;
 use azurenotch_wire::{
     budget::{Capacity, Slot},
     id::Region,
@@ -13,9 +14,13 @@
 /// Part of an even share that an idle host receives even if others need more.
 const IDLE_PART: f64 = 0.05;
 /// Part of the mean demand that is added to each host's weight for burst and concurrency.
-const EVEN_PART: f64 = 0.25;
+const EVEN_PART: f64 = 1.0;
+/// Standard deviations of an estimate of random arrivals that count as noise.
+const NOISE_DEVIATIONS: f64 = 2.0;
+/// Bisection steps for the level of the surplus.
+const LEVEL_STEPS: u32 = 48;
 /// Weight bonus of a host that already holds a unit when there are fewer units than hosts.
-const INCUMBENT_BONUS: f64 = 1.5;
+const INCUMBENT_BONUS: f64 = 3.0;
 /// Change of a rate, relative to the larger of the share and an even share, that counts as noise.
 const RATE_NOISE: f64 = 0.2;
 /// The same for burst and concurrency.
@@ -44,7 +49,7 @@
 impl Division {
     /// Divides `total` by demand; `caps` limits the rate of regions.
     ///
-    /// Rates are max-min fair up to demand with headroom, and the surplus is spread evenly. Burst
+    /// Rates are max-min fair up to demand with headroom, and the surplus lifts the smallest. Burst
     /// and concurrency are dealt in whole units. A host that would hold less than one token
     /// receives no rate, because its bucket would never admit.
     pub fn new(
@@ -135,7 +140,10 @@
             let starts = |floor: f64, old: f64, new: f64| {
                 claim.demand > 0.0 && floor + old < 1.0 && floor + new >= 1.0
             };
+            let random = (claim.demand / (2.0 * DEMAND_DECAY.as_secs_f64())).sqrt();
+            let random = NOISE_DEVIATIONS * RATE_HEADROOM * random;
             moved(old.rate, new.rate, total.rate, RATE_NOISE)
+                && (new.rate - old.rate).abs() > random
                 || moved(old.burst, new.burst, total.burst, UNIT_NOISE)
                     && (new.burst - old.burst).abs() > 1.0
                 || moved(
@@ -202,12 +210,37 @@
             room[*i] = (cap - used).max(0.0) / members.len() as f64;
         }
     }
-    for (share, extra) in shares.iter_mut().zip(fill(surplus, &room)) {
-        *share += extra;
-    }
+    lift(surplus, &room, &mut shares);
     (shares, limited)
 }
 
+/// Adds `surplus` to the smallest shares first, each by at most its room.
+///
+/// Hosts without demand come first, because they have to start at once when callers move to them.
+fn lift(surplus: f64, room: &[f64], shares: &mut [f64]) {
+    let extra = |level: f64, share: f64, room: f64| (level - share).clamp(0.0, room.max(0.0));
+    let (mut low, mut high) = (
+        0.0,
+        shares.iter().copied().fold(surplus, f64::max) + surplus,
+    );
+    for _ in 0..LEVEL_STEPS {
+        let level = f64::midpoint(low, high);
+        let sum: f64 = shares
+            .iter()
+            .zip(room)
+            .map(|(share, room)| extra(level, *share, *room))
+            .sum();
+        if sum > surplus {
+            high = level;
+        } else {
+            low = level;
+        }
+    }
+    for (share, room) in shares.iter_mut().zip(room) {
+        *share += extra(low, *share, *room);
+    }
+}
+
 /// Divides `total` max-min fairly up to `needs`.
 fn fill(total: f64, needs: &[f64]) -> Vec<f64> {
     let mut order: Vec<usize> = (0..needs.len()).collect();
--- a/crates/core/src/process/budget/reporter.rs
+++ b/crates/core/src/process/budget/reporter.rs
@@ -58,6 +58,14 @@
         self.token
     }
 
+    /// Continues in another slot, after the claim of the former one was lost.
+    ///
+    /// The host gives up its elastic shares first, with [`Share::stop`](super::Share::stop).
+    pub const fn claim(&mut self, slot: Slot) {
+        self.slot = slot;
+        self.sent = None;
+    }
+
     /// Creates the next report, addressed to the holder with `token`.
     ///
     /// Answers to earlier reports and grants of lower tokens are rejected from now on. `usage` is
--- a/crates/core/src/process/budget/share.rs
+++ b/crates/core/src/process/budget/share.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 /// Time in which an arrival loses most of its weight in the demand estimate.
-const DEMAND_DECAY: Duration = Duration::from_secs(3);
+pub(super) const DEMAND_DECAY: Duration = Duration::from_secs(3);
 /// Demand below which a workspace counts as idle, in requests per second.
 const IDLE_DEMAND: f64 = 0.01;
 /// Retry time for a host that has no capacity until its next grants.
--- a/crates/core/tests/budget_rules.rs
+++ b/crates/core/tests/budget_rules.rs
@@ -385,3 +385,96 @@
         "usable until has passed"
     );
 }
+
+#[test]
+fn a_late_report_of_a_silent_host_brings_no_tokens() {
+    let (mut ledger, held) = shifting();
+    ledger.renewed(at(8));
+    ledger
+        .report(at(8), &report(1, 2, 2, 100.0, all(0.0)))
+        .unwrap();
+    ledger.tick(at(8)).expect("the silent share is free");
+    ledger.recorded(Write::Done);
+    let mut late = report(0, 1, 3, 0.0, held);
+    late.usage.get_mut(&workspace()).unwrap().returned = 50.0;
+    ledger.report(at(9), &late).unwrap();
+    let grant = ledger
+        .report(at(9), &report(1, 2, 3, 100.0, all(0.0)))
+        .unwrap();
+    assert!(
+        grant.tokens.is_empty(),
+        "the lost tokens came back: {grant:?}"
+    );
+}
+
+#[test_case(6, Rejection::Behind { token: 7 }; "the host may still obey the former holder")]
+#[test_case(8, Rejection::Superseded { token: 7, known: 8 }; "a later holder exists")]
+fn only_reports_to_the_own_token_are_answered(token: u64, expected: Rejection) {
+    let (mut ledger, held) = shifting();
+    let mut report = report(0, 1, 3, 0.0, held);
+    report.token = token;
+    assert_eq!(ledger.report(at(3), &report), Err(expected));
+}
+
+#[test]
+fn running_requests_stay_held_and_lapsed_tokens_are_lost() {
+    let grant = |capacity, tokens| Grant {
+        token: 7,
+        sequence: 1,
+        capacity: Map::from_iter([(workspace(), capacity)]),
+        tokens: Map::from_iter([(workspace(), tokens)]),
+        regional: Vec::new(),
+    };
+    let mut share = Share::new(at(0));
+    share.apply(at(0), &workspace(), &grant(all(4.0), 4.0), at(5));
+    share.admit(at(0)).unwrap();
+    share.admit(at(0)).unwrap();
+    share.apply(at(1), &workspace(), &grant(all(1.0), 0.0), at(5));
+    let usage = share.usage(at(2)).unwrap();
+    assert!((usage.held.concurrency - 2.0).abs() < 1e-9, "{usage:?}");
+    assert!((usage.returned - 3.0).abs() < 1e-9, "{usage:?}");
+    share.apply(at(3), &workspace(), &grant(all(0.0), 0.0), at(5));
+    let lapsed = share.usage(at(5)).unwrap();
+    assert!(lapsed.returned.abs() < 1e-9, "{lapsed:?}");
+}
+
+#[test]
+fn a_lowered_contract_is_in_force_after_two_reports() {
+    let (mut ledger, held) = shifting();
+    ledger.supply(at(3), supplies(&contract(40.0, 40.0, 40)));
+    ledger.tick(at(3));
+    let lower = granted(&ledger.report(at(3), &report(0, 1, 3, 100.0, held)).unwrap());
+    assert!(lower.rate <= 30.0 + 1e-9);
+    ledger
+        .report(at(4), &report(0, 1, 4, 100.0, lower))
+        .unwrap();
+    let next = ledger
+        .tick(at(4))
+        .expect("the confirmed decrease is recorded");
+    assert!(next.sum(&workspace()).rate <= 30.0 + 1e-9);
+}
+
+#[test_case(11.0, 100.0; "more slots have a floor")]
+#[test_case(100.0, 11.0; "fewer slots have a floor")]
+#[test_case(8.0, 3.0; "no slot has a floor any more")]
+fn mixed_floors_stay_within_the_larger_contract(old: f64, new: f64) {
+    let supply = |burst| Supply::contract(&workspace(), &contract(100.0, burst, 100), SLOTS);
+    let (former, next) = (supply(old), supply(new));
+    let elastic = next.elastic(std::iter::once(&former));
+    for adopted in 0..1 << SLOTS {
+        let floors = (0..SLOTS).fold(Capacity::ZERO, |sum, slot| {
+            let supply = if adopted >> slot & 1 == 1 {
+                &next
+            } else {
+                &former
+            };
+            sum.plus(supply.floor.largest(slot))
+        });
+        let sum = floors.plus(elastic);
+        let most = old.max(new) + 1e-9;
+        assert!(
+            sum.rate <= 100.0 + 1e-9 && sum.burst <= most,
+            "{sum:?} with {adopted:b}"
+        );
+    }
+}
