fix(core): keep budget shares still under random demand

The running requests of one moment moved concurrency in nearly every round, and idle hosts had no allowance for random arrivals. The division uses the recent peak of running requests, and the spread of random arrivals counts as noise for burst and concurrency too.

--- a/crates/core/src/process/budget/division.rs
+++ b/crates/core/src/process/budget/division.rs
@@ -131,27 +131,30 @@
             return true;
         }
         let count = claims.len().max(1) as f64;
+        let mean = claims.iter().map(|claim| claim.demand).sum::<f64>() / count;
         claims.iter().any(|claim| {
             let (old, new) = (self.share(claim.slot), next.share(claim.slot));
-            let moved = |old: f64, new: f64, total: f64, noise: f64| {
-                (new - old).abs() > noise * old.max(total / count)
-            };
             let total = self.total;
+            let moved = |old: f64, new: f64, total: f64, noise: f64, random: f64| {
+                (new - old).abs() > (noise * old.max(total / count)).max(random)
+            };
             let starts = |floor: f64, old: f64, new: f64| {
                 claim.demand > 0.0 && floor + old < 1.0 && floor + new >= 1.0
             };
-            let random = (claim.demand / (2.0 * DEMAND_DECAY.as_secs_f64())).sqrt();
+            let random = (claim.demand.max(mean) / (2.0 * DEMAND_DECAY.as_secs_f64())).sqrt();
             let random = NOISE_DEVIATIONS * RATE_HEADROOM * random;
-            moved(old.rate, new.rate, total.rate, RATE_NOISE)
-                && (new.rate - old.rate).abs() > random
-                || moved(old.burst, new.burst, total.burst, UNIT_NOISE)
-                    && (new.burst - old.burst).abs() > 1.0
+            let running = NOISE_DEVIATIONS * CONCURRENCY_HEADROOM * claim.running.sqrt();
+            let (units, places) = (total.burst, total.concurrency);
+            let burst = random * units / total.rate.max(f64::MIN_POSITIVE);
+            moved(old.rate, new.rate, total.rate, RATE_NOISE, random)
+                || moved(old.burst, new.burst, units, UNIT_NOISE, burst.max(1.0))
                 || moved(
                     old.concurrency,
                     new.concurrency,
-                    total.concurrency,
+                    places,
                     UNIT_NOISE,
-                ) && (new.concurrency - old.concurrency).abs() > 1.0
+                    running.max(1.0),
+                )
                 || starts(claim.floor.burst, old.burst, new.burst)
                 || starts(claim.floor.concurrency, old.concurrency, new.concurrency)
         })
--- a/crates/core/src/process/budget/seat.rs
+++ b/crates/core/src/process/budget/seat.rs
@@ -8,6 +8,9 @@
 };
 use std::collections::BTreeMap;
 
+/// Factor by which the peak of running requests falls from one report to the next.
+const PEAK_DECAY: f64 = 0.9;
+
 /// State of one slot under the ledger's token.
 #[derive(Debug, Clone)]
 pub(super) struct Seat {
@@ -26,6 +29,7 @@
     /// Upper limit of the elastic capacity that the host can use.
     pub used: Capacity,
     pub demand: f64,
+    /// Recent peak of the running requests.
     pub running: f64,
 }
 
@@ -84,7 +88,7 @@
         let before = cell.used;
         cell.used = before.min(usage.held);
         cell.demand = usage.demand.max(0.0);
-        cell.running = usage.running.max(0.0);
+        cell.running = usage.running.max(cell.running * PEAK_DECAY);
         usage.returned.clamp(0.0, before.burst - cell.used.burst)
     }
 }
