test(core): guard against shares that move for noise

The churn of the budget's shares had no test. The test goes red when every division is adopted, and was restored. Nothing else was measured.

--- a/crates/core/tests/budget_rules.rs
+++ b/crates/core/tests/budget_rules.rs
@@ -478,3 +478,27 @@
         );
     }
 }
+
+#[test]
+fn shares_do_not_move_for_noise() {
+    let mut ledger = ledger(&contract(1_000.0, 1_000.0, 100), Allocation::default());
+    let mut held = [all(0.0); 2];
+    let mut moves = 0;
+    for second in 1..60 {
+        ledger.renewed(at(second));
+        for (slot, held) in (0..).zip(&mut held) {
+            // Demand and running requests alternate by a tenth around their means.
+            let up = if (second + slot) % 2 == 0 { 1.1 } else { 0.9 };
+            let mut report = report(slot as Slot, slot, second, 380.0 * up, *held);
+            report.usage.get_mut(&workspace()).unwrap().running = (20.0 * up).floor();
+            let share = granted(&ledger.report(at(second), &report).unwrap());
+            moves += u32::from(second > 10 && share != *held);
+            *held = share;
+        }
+        if ledger.tick(at(second)).is_some() {
+            ledger.recorded(Write::Done);
+        }
+    }
+    assert_eq!(moves, 0, "shares moved without a change of demand");
+    assert!(held.iter().all(|held| held.rate > 270.0), "{held:?}");
+}
