fix(daemon): count broken answer bodies against their backend server

An answer counted as good once its header was passed on, so a server that broke off every body was never ejected and a new version that did so showed no fault. A break by the server is now recorded as a failure at the balance and the version move. The listener keeps taking connections for the linger time after its stop, because those in the system's queue would be reset.

The test of the ejection fails when the break is not recorded.

--- a/crates/daemon/src/connection/listener.rs
+++ b/crates/daemon/src/connection/listener.rs
@@ -32,7 +32,7 @@
 pub const HEADER_TIMEOUT: Duration = Duration::from_secs(15);
 /// Largest number of caller connections.
 pub const MAX_CONNECTIONS: usize = 8192;
-/// Time for which idle callers may still send a request after the stop of the listener.
+/// Time for which idle and new callers may still send a request after the listener was stopped.
 pub const LINGER: Duration = Duration::from_secs(1);
 /// Time between two searches for idle backend connections that are too old.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
@@ -127,21 +127,26 @@
             }
         }
         self.gateway.set_stopping();
-        // Connections that the system has already accepted would be reset with the socket.
-        while let Some((stream, peer)) = self.accept_waiting().await {
-            self.take(stream, peer, &stop, &tasks);
-        }
+        self.linger(&stop, &tasks).await;
         drop(self.socket);
         tasks.close();
         tasks.wait().await;
     }
 
-    /// Returns a connection that is waiting to be accepted, without waiting for one.
-    async fn accept_waiting(&self) -> Option<(TcpStream, SocketAddr)> {
-        select! {
-            biased;
-            accepted = self.socket.accept() => accepted.ok(),
-            () = std::future::ready(()) => None,
+    /// Takes the last connections for [`LINGER`], each for requests that ask to close it.
+    ///
+    /// Connections that the system has accepted but that are not taken are reset with the socket.
+    async fn linger(&self, stop: &CancellationToken, tasks: &TaskTracker) {
+        let mut end = pin!(sleep(LINGER));
+        loop {
+            select! {
+                biased;
+                () = &mut end => break,
+                accepted = self.socket.accept() => match accepted {
+                    Ok((stream, peer)) => self.take(stream, peer, stop, tasks),
+                    Err(_) => break,
+                },
+            }
         }
     }
 
--- a/crates/daemon/src/request/attempt.rs
+++ b/crates/daemon/src/request/attempt.rs
@@ -4,8 +4,8 @@
     connection::pool::{self, Failed, Lease, Need, Pool},
     request::{
         forward::Job,
-        shift::Observation,
         upload::{self, Upload},
+        watch::Watch,
     },
     version::current::Place,
 };
@@ -31,7 +31,7 @@
 pub(crate) struct Answer {
     pub(crate) response: Response<Incoming>,
     pub(crate) lease: Lease,
-    pub(crate) place: Place,
+    pub(crate) watch: Watch,
 }
 
 /// Why an attempt got no answer.
@@ -51,10 +51,11 @@
     /// Makes one attempt at a backend server.
     pub(crate) async fn attempt(
         &self,
-        mut place: Place,
+        place: Place,
         pool: &Arc<Pool>,
         number: u32,
     ) -> Result<Answer> {
+        let mut watch = self.watch(place);
         let started = self.gateway.clock.now();
         let need = match (number, self.grant.route.idempotent) {
             (0, true) => Need::Any,
@@ -62,22 +63,18 @@
             _ => Need::Fresh,
         };
         let result = self.exchange(pool, need).await;
-        let now = self.gateway.clock.now();
-        let latency = now.since(started);
+        let latency = self.gateway.clock.now().since(started);
         let verdict = match &result {
             Ok((response, _)) if is_shed(response) => Verdict::Shed,
             Ok((response, _)) if response.status().is_server_error() => Verdict::Failed,
             Ok(_) => Verdict::Answered,
             Err(failure) => failure.verdict,
         };
-        place.end(now, verdict, latency);
-        if verdict != Verdict::Abandoned {
-            self.record(verdict != Verdict::Answered, latency);
-        }
+        watch.end(verdict, latency);
         result.map(|(response, lease)| Answer {
             response,
             lease,
-            place,
+            watch,
         })
     }
 
@@ -184,18 +181,16 @@
         transfer.map_or_else(CancellationToken::new, |it| it.token().clone())
     }
 
-    fn record(&self, failed: bool, latency: Duration) {
-        let holder = self.grant.holder.as_ref();
-        let observation = Observation {
-            service: &self.grant.route.service,
-            release: &self.release,
-            route: &self.grant.name,
-            workspace: holder.map(|holder| &holder.workspace),
-            failed,
-            latency,
-        };
-        let now = self.gateway.clock.now();
-        self.gateway.shift.record(now, &observation);
+    fn watch(&self, place: Place) -> Watch {
+        let gateway = self.gateway;
+        Watch::new(
+            place,
+            self.grant.clone(),
+            self.release.clone(),
+            Arc::clone(&gateway.clock),
+            Arc::clone(&gateway.shift),
+            gateway.metrics.broken(self.grant.name.as_str()),
+        )
     }
 
     /// Explains a failure of the connection, which may be due to the caller's own body.
--- a/crates/daemon/src/request/body.rs
+++ b/crates/daemon/src/request/body.rs
@@ -1,11 +1,13 @@
 //! Body of an answer on its way from a backend server to the caller.
 
-use crate::{connection::pool::Lease, request::upload::Source};
+use crate::{
+    connection::pool::Lease,
+    request::{upload::Source, watch::Watch},
+};
 use bytes::Bytes;
 use http_body::{Body as HttpBody, Frame, SizeHint};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use prometheus::IntCounter;
 use snafu::Snafu;
 use std::{
     any::Any,
@@ -57,7 +59,7 @@
     withdrawn: Option<Pin<Box<WaitForCancellationFutureOwned>>>,
     stall: Option<Pin<Box<Sleep>>>,
     armed: bool,
-    broken: IntCounter,
+    watch: Watch,
     _held: Box<dyn Any + Send>,
 }
 
@@ -69,13 +71,13 @@
 }
 
 impl Download {
-    /// Creates a body that keeps `held` until it ends and counts a break in `broken`.
+    /// Creates a body that keeps `held` until it ends and tells `watch` if it breaks.
     pub fn new<T: Any + Send>(
         inner: Incoming,
         lease: Lease,
         upload: Source,
+        watch: Watch,
         withdrawn: Option<CancellationToken>,
-        broken: IntCounter,
         held: T,
     ) -> Self {
         let mut download = Self {
@@ -85,7 +87,7 @@
             withdrawn: withdrawn.map(|token| Box::pin(token.cancelled_owned())),
             stall: None,
             armed: false,
-            broken,
+            watch,
             _held: Box::new(held),
         };
         download.finish_if_ended();
@@ -109,7 +111,7 @@
 
     fn fail(&mut self, error: Error) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
         self.lease = None;
-        self.broken.inc();
+        self.watch.break_off(!matches!(error, Error::Withdrawn));
         Poll::Ready(Some(Err(error)))
     }
 
--- a/crates/daemon/src/request/forward.rs
+++ b/crates/daemon/src/request/forward.rs
@@ -195,9 +195,8 @@
         head.headers
             .append(http::header::VIA, HeaderValue::from_static(VIA));
         let withdrawn = self.held.transfer.as_ref().map(|it| it.token().clone());
-        let guards = (answer.place, self.held);
-        let broken = self.gateway.metrics.broken(route);
-        let body = Download::new(body, answer.lease, self.upload, withdrawn, broken, guards);
+        let lease = answer.lease;
+        let body = Download::new(body, lease, self.upload, answer.watch, withdrawn, self.held);
         Response::from_parts(head, Body::Stream(Box::new(body)))
     }
 }
--- a/crates/daemon/src/request/mod.rs
+++ b/crates/daemon/src/request/mod.rs
@@ -13,3 +13,4 @@
 pub mod shift;
 pub mod transfer;
 pub mod upload;
+pub mod watch;
--- a/crates/daemon/tests/transfers.rs
+++ b/crates/daemon/tests/transfers.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use azurenotch_daemon::connection::stream::READER_STALL;
 use std::sync::{Arc, atomic::Ordering};
 use support::{Backend, Caller, FILL, Fixture, Frozen, Reply, get, settle, snapshot};
 use tokio::{io::AsyncReadExt, time::advance};
@@ -162,3 +163,37 @@
         assert!(backend.closed.recv().await.is_some());
     }
 }
+
+/// Guards against a caller that takes no data and holds a backend server without end.
+#[tokio::test(start_paused = true)]
+async fn a_caller_that_stops_reading_is_cut_off() {
+    let mut backend = Backend::start(|_| Reply::Endless(DOWNLOAD)).await;
+    let fixture = Fixture::start(&[backend.address]).await;
+    advance(FILL).await;
+    let mut caller = Caller::connect(fixture.address).await;
+    caller.send(&get("/read")).await;
+    assert!(caller.head().await.is_some());
+    // Idle time is skipped: the event comes when no data has moved for the longest stall.
+    let started = tokio::time::Instant::now();
+    assert!(backend.closed.recv().await.is_some());
+    assert!(started.elapsed() >= READER_STALL);
+    assert!(backend.written.load(Ordering::SeqCst) < DOWNLOAD);
+}
+
+/// Guards against a backend server that breaks off its answers and is not ejected.
+#[tokio::test(start_paused = true)]
+async fn a_server_that_breaks_off_answers_loses_traffic() {
+    let _frozen = Frozen::new();
+    let part = b"HTTP/1.1 200 OK\r\nazurenotch-request: {id}\r\ncontent-length: 9\r\n\r\npart";
+    let mut bad = Backend::start(|_| Reply::Raw(part.to_vec())).await;
+    let good = Backend::start(|_| Reply::Answer("200 OK", b"right".to_vec())).await;
+    let fixture = Fixture::start(&[bad.address, good.address]).await;
+    advance(FILL).await;
+    for _ in 0..200 {
+        let mut caller = Caller::connect(fixture.address).await;
+        caller.send(&get("/read")).await;
+        drop(caller.answer().await);
+    }
+    // Five failures in a row eject it, and time does not pass here.
+    assert!(bad.drain().len() <= 5);
+}
