--- a/crates/daemon/src/request/attempt.rs
+++ b/crates/daemon/src/request/attempt.rs
@@ -186,7 +186,7 @@
         Watch::new(
             place,
             self.grant.clone(),
-            self.release.clone(),
+            self.choice.clone(),
             Arc::clone(&gateway.clock),
             Arc::clone(&gateway.shift),
             gateway.metrics.broken(self.grant.name.as_str()),
--- a/crates/daemon/src/request/forward.rs
+++ b/crates/daemon/src/request/forward.rs
@@ -6,13 +6,13 @@
         attempt::{Answer, BUSY_RETRY, is_shed},
         body::{Body, Download},
         gateway::{Gateway, Held, Result},
+        shift::Choice,
         upload::Source,
     },
     version::current::Place,
 };
 use azurenotch_core::request::{access::Grant, deadline::Deadline, header, retry::Attempt};
 use azurenotch_wire::{
-    id::Release,
     refusal::{self, Outcome, Reason, Refusal},
     time::Instant,
 };
@@ -29,7 +29,7 @@
 pub(crate) struct Job<'a> {
     pub(crate) gateway: &'a Gateway,
     pub(crate) grant: &'a Grant,
-    pub(crate) release: Release,
+    pub(crate) choice: Choice,
     pub(crate) head: Parts,
     pub(crate) upload: Source,
     pub(crate) deadline: Deadline,
@@ -150,12 +150,14 @@
         let current = self.gateway.current()?;
         let group = current.group(&self.grant.route.service)?;
         let now = self.gateway.clock.now();
-        let place = match group.pick(now, &self.release, &progress.excluded) {
+        let place = match group.pick(now, &self.choice.release, &progress.excluded) {
             Some(place) => Some(place),
             None if progress.number == 0 => {
                 let wait = self.deadline.left(now)?.div_f64(2.0).min(SLOT_WAIT);
                 let started = now;
-                let place = group.wait(&*self.gateway.clock, &self.release, wait).await;
+                let place = group
+                    .wait(&*self.gateway.clock, &self.choice.release, wait)
+                    .await;
                 progress.waited += self.gateway.clock.now().since(started);
                 place
             }
--- a/crates/daemon/src/request/watch.rs
+++ b/crates/daemon/src/request/watch.rs
@@ -3,12 +3,11 @@
 use crate::{
     request::{
         clock::Clock,
-        shift::{Observation, Shift},
+        shift::{Choice, Observation, Shift},
     },
     version::current::Place,
 };
 use azurenotch_core::{request::access::Grant, version::balance::Verdict};
-use azurenotch_wire::id::Release;
 use prometheus::IntCounter;
 use std::{sync::Arc, time::Duration};
 
@@ -19,7 +18,7 @@
 pub struct Watch {
     place: Place,
     grant: Grant,
-    release: Release,
+    choice: Choice,
     clock: Arc<dyn Clock>,
     shift: Arc<dyn Shift>,
     broken: IntCounter,
@@ -30,7 +29,7 @@
     pub fn new(
         place: Place,
         grant: Grant,
-        release: Release,
+        choice: Choice,
         clock: Arc<dyn Clock>,
         shift: Arc<dyn Shift>,
         broken: IntCounter,
@@ -38,7 +37,7 @@
         Self {
             place,
             grant,
-            release,
+            choice,
             clock,
             shift,
             broken,
@@ -70,7 +69,7 @@
         let holder = self.grant.holder.as_ref();
         let observation = Observation {
             service: &self.grant.route.service,
-            release: &self.release,
+            choice: &self.choice,
             route: &self.grant.name,
             workspace: holder.map(|holder| &holder.workspace),
             failed,
