fix(daemon): register waiters for a slot before searching

Two attempts that ended between a waiter's search and its wait left one notification for two waiters, so that one waited longer than needed. The waiter now registers first. The tests of the data path passed; nothing was measured.

--- a/crates/daemon/src/version/current.rs
+++ b/crates/daemon/src/version/current.rs
@@ -15,7 +15,7 @@
     time::Instant,
 };
 use parking_lot::Mutex;
-use std::{sync::Arc, time::Duration};
+use std::{pin::pin, sync::Arc, time::Duration};
 use tokio::{
     sync::{Notify, Semaphore},
     time::timeout,
@@ -177,12 +177,15 @@
     ) -> Option<Place> {
         let _waiting = self.waiting.try_acquire().ok()?;
         let freed = async {
+            let mut freed = pin!(self.freed.notified());
             loop {
-                let freed = self.freed.notified();
+                // Registered before the search, so that no end between the two is missed.
+                freed.as_mut().enable();
                 if let Some(place) = self.pick(clock.now(), release, &[]) {
                     return place;
                 }
-                freed.await;
+                freed.as_mut().await;
+                freed.set(self.freed.notified());
             }
         };
         timeout(wait, freed).await.ok()
