--- a/crates/daemon/src/request/body.rs
+++ b/crates/daemon/src/request/body.rs
@@ -60,6 +60,8 @@
     stall: Option<Pin<Box<Sleep>>>,
     armed: bool,
     watch: Watch,
+    /// Error that is returned by the next poll.
+    error: Option<Error>,
     _held: Box<dyn Any + Send>,
 }
 
@@ -88,6 +90,7 @@
             stall: None,
             armed: false,
             watch,
+            error: None,
             _held: Box::new(held),
         };
         download.finish_if_ended();
@@ -109,10 +112,20 @@
         }
     }
 
-    fn fail(&mut self, error: Error) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
+    /// Closes the connection to the backend server and breaks the body at the next poll.
+    ///
+    /// The HTTP library drops what it has not written when a body fails. The delay by one poll
+    /// lets it write the header and the part of the body that came before.
+    fn fail(
+        &mut self,
+        cx: &Context<'_>,
+        error: Error,
+    ) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
         self.lease = None;
         self.watch.break_off(!matches!(error, Error::Withdrawn));
-        Poll::Ready(Some(Err(error)))
+        self.error = Some(error);
+        cx.waker().wake_by_ref();
+        Poll::Pending
     }
 
     fn poll_stall(&mut self, cx: &mut Context<'_>) -> Poll<()> {
@@ -127,21 +140,24 @@
     }
 
     fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
+        if let Some(error) = self.error.take() {
+            return Poll::Ready(Some(Err(error)));
+        }
         if let Some(withdrawn) = &mut self.withdrawn
             && withdrawn.as_mut().poll(cx).is_ready()
         {
-            return self.fail(Error::Withdrawn);
+            return self.fail(cx, Error::Withdrawn);
         }
         match Pin::new(&mut self.inner).poll_frame(cx) {
             Poll::Pending => match self.poll_stall(cx) {
                 Poll::Pending => Poll::Pending,
-                Poll::Ready(()) => self.fail(Error::Stalled),
+                Poll::Ready(()) => self.fail(cx, Error::Stalled),
             },
             Poll::Ready(None) => {
                 self.finish();
                 Poll::Ready(None)
             }
-            Poll::Ready(Some(Err(source))) => self.fail(Error::Broken { source }),
+            Poll::Ready(Some(Err(source))) => self.fail(cx, Error::Broken { source }),
             Poll::Ready(Some(Ok(frame))) => {
                 self.armed = false;
                 self.finish_if_ended();
