--- a/crates/daemon/src/version/current.rs
+++ b/crates/daemon/src/version/current.rs
@@ -249,13 +249,22 @@
         server: name.clone(),
         release: server.release.clone(),
         tier: tier(document, here, &server.data_centre),
-        slots: server.slots.div_ceil(document.fleet.slots.max(1)),
+        slots: server.slots,
+        sharers: sharers(document),
         draining: snapshot.drains.contains(name),
         // At the start of a host its backend servers have long been serving other hosts.
         cold: previous.is_some_and(|it| it.pool(name).is_none()),
     }
 }
 
+/// Returns how many hosts usually share a backend server: those of one data centre.
+fn sharers(document: &Document) -> u32 {
+    let data_centres = u32::try_from(document.data_centres.len())
+        .unwrap_or(u32::MAX)
+        .max(1);
+    document.fleet.slots.div_ceil(data_centres)
+}
+
 fn tier(document: &Document, here: &DataCentre, there: &DataCentre) -> Tier {
     let region = |name| document.data_centres.get(name);
     if here == there {
