--- a/crates/core/tests/budget_host.rs
+++ b/crates/core/tests/budget_host.rs
@@ -158,3 +158,15 @@
         );
     }
 }
+
+#[test]
+fn a_floor_lapses_without_renewal_of_the_slot() {
+    let mut share = Share::new(at(0));
+    share.set_floor(at(0), all(2.0), at(5));
+    assert_eq!(share.usable(at(4)), all(2.0));
+    assert!(
+        share.usable(at(5)).is_zero(),
+        "also before the share is next used"
+    );
+    assert!(share.admit(at(5)).is_err());
+}
