feat(daemon): answer look-ups from the steering table; end floors with the slot

Cause: look-ups scanned all blocks, and a host whose slot was reaped kept its floors and started a new report sequence. Change: the directory uses Steering and Fleet; a lost slot ends floors and elastic shares, and the reporter continues in the next slot.

--- a/crates/daemon/src/process/admission.rs
+++ b/crates/daemon/src/process/admission.rs
@@ -5,7 +5,7 @@
 use azurenotch_core::process::budget::{Floor, Share};
 use azurenotch_wire::{
     Map,
-    budget::{Grant, Slot, Usage},
+    budget::{Capacity, Grant, Slot, Usage},
     id::{Region, Workspace},
     refusal::{Reason, Refusal},
     time::Instant,
@@ -74,7 +74,7 @@
     }
 
     /// Returns the usable rate and burst of every workspace.
-    pub fn usable(&self, now: Instant) -> Vec<(Workspace, azurenotch_wire::budget::Capacity)> {
+    pub fn usable(&self, now: Instant) -> Vec<(Workspace, Capacity)> {
         let shares = self.shares.read();
         let mut usable = shares
             .iter()
@@ -85,19 +85,19 @@
     }
 
     fn apply_floors(&self, now: Instant, snapshot: &Snapshot) {
-        let Some(seat) = self.seat.lock().clone() else {
-            return;
-        };
+        let seat = self.seat.lock().clone();
         let document = &snapshot.document;
         let shares = self.shares.read();
         for (workspace, contract) in &document.workspaces {
             let Some(share) = shares.get(workspace) else {
                 continue;
             };
-            let floor = Floor::new(workspace, contract, document.fleet.slots);
-            share
-                .lock()
-                .set_floor(now, floor.slot(seat.slot, &seat.region), seat.until);
+            // A host that lost its slot loses the floors with it: another host may hold them.
+            let (floor, until) = seat.as_ref().map_or((Capacity::ZERO, now), |seat| {
+                let floor = Floor::new(workspace, contract, document.fleet.slots);
+                (floor.slot(seat.slot, &seat.region), seat.until)
+            });
+            share.lock().set_floor(now, floor, until);
         }
     }
 }
@@ -144,3 +144,34 @@
         self.share.lock().finish(self.clock.now());
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::request::clock::Monotonic;
+    use azurenotch_config::document::Document;
+
+    /// Guards against two hosts that use the floors of one slot.
+    #[test]
+    fn floors_end_with_the_slot() {
+        let text = include_str!("../../tests/fleet/document.ini");
+        let document = Document::parse(text).expect("the document is valid");
+        let snapshot = Snapshot {
+            document,
+            ..Snapshot::default()
+        };
+        let fleet = Fleet::new(Arc::new(Monotonic::new()));
+        let now = Instant::from_millis(1);
+        fleet.adopt(now, &snapshot);
+        let seat = Seat {
+            slot: 0,
+            region: "r".into(),
+            until: Instant::from_millis(60_000),
+        };
+        fleet.set_seat(now, Some(seat), &snapshot);
+        let rate = |fleet: &Fleet| fleet.usable(now).iter().map(|(_, it)| it.rate).sum::<f64>();
+        assert!(rate(&fleet) > 0.0, "the slot has floors");
+        fleet.set_seat(now, None, &snapshot);
+        assert!(rate(&fleet) <= 0.0, "the floors went with the slot");
+    }
+}
--- a/crates/daemon/src/process/budget.rs
+++ b/crates/daemon/src/process/budget.rs
@@ -135,7 +135,7 @@
 impl State {
     fn round(&mut self, myself: &ActorRef<Message>) {
         self.lead(myself);
-        if !self.stopping {
+        if !self.stopping && self.seat.is_some() {
             self.report(myself, false);
         }
         self.record_shares();
@@ -146,12 +146,11 @@
         let is_same_slot =
             self.seat.as_ref().map(|seat| seat.slot) == seat.as_ref().map(|seat| seat.slot);
         if !is_same_slot {
-            self.reporter = seat.as_ref().map(|seat| {
-                let host = self.node.host().clone();
-                let region = seat.region.clone();
-                Reporter::new(host, self.node.incarnation, seat.slot, region, self.timing)
-            });
+            // The elastic shares belong to the former slot, whose next holder may get them.
             self.fleet.stop(now);
+            if let Some(seat) = &seat {
+                self.claim(seat);
+            }
         }
         self.seat.clone_from(&seat);
         if let Some(snapshot) = &self.snapshot {
@@ -159,6 +158,22 @@
         }
     }
 
+    fn claim(&mut self, seat: &Seat) {
+        if let Some(reporter) = &mut self.reporter {
+            reporter.claim(seat.slot);
+            return;
+        }
+        let (host, region) = (self.node.host().clone(), seat.region.clone());
+        let incarnation = self.node.incarnation;
+        self.reporter = Some(Reporter::new(
+            host,
+            incarnation,
+            seat.slot,
+            region,
+            self.timing,
+        ));
+    }
+
     fn on_adopted(&mut self, snapshot: Arc<Snapshot>) {
         let now = self.node.clock.now();
         if let Some(ledger) = &mut self.ledger {
--- a/crates/daemon/src/process/daemon.rs
+++ b/crates/daemon/src/process/daemon.rs
@@ -160,11 +160,7 @@
         let incarnation = incarnation();
         let own = &setting.host;
         let peers = Arc::new(ArcSwap::default());
-        let hosts = Arc::new(Hosts::new(
-            own.name.clone(),
-            own.data_centre.clone(),
-            Arc::clone(&peers),
-        ));
+        let hosts = Arc::new(Hosts::new(own.name.clone(), own.data_centre.clone()));
         let fleet = Arc::new(Fleet::new(Arc::clone(&parts.clock)));
         let evidence = Arc::new(Evidence::new(own.name.clone()));
         let (versions, faults) = Versions::new(own.name.clone(), Arc::clone(&parts.clock));
@@ -289,7 +285,7 @@
     pub async fn shut_down(self) {
         let log = &self.node.log;
         self.node.recorder.record(Kind::Stopping);
-        self.hosts.leave();
+        self.hosts.leave(&self.node.peers.load());
         self.node.gateway.set_stopping();
         // Others stop naming this host when they see its state.
         let _ = self.actors.peers.send_message(peers::Message::Announce);
@@ -342,6 +338,7 @@
             })?;
         let arguments = peers::Arguments {
             node: Arc::clone(node),
+            hosts: Arc::clone(hosts),
             configuration: configuration.clone(),
         };
         let (peers, _) = Actor::spawn(None, peers::Peers, arguments)
@@ -420,7 +417,7 @@
         for event in versions.adopt(&snapshot, others.saturating_add(1), wall_ms()) {
             node.recorder.record(event);
         }
-        hosts.adopt(Arc::clone(&snapshot));
+        hosts.adopt(&snapshot, &node.peers.load());
         // The actor is gone only when the process stops.
         let _ = budget.send_message(budget::Message::Adopted(snapshot));
     })
--- a/crates/daemon/src/process/directory.rs
+++ b/crates/daemon/src/process/directory.rs
@@ -2,15 +2,19 @@
 
 use crate::{
     process::node::Peer,
-    request::directory::{Answer, Directory, Site},
+    request::directory::{Answer, Directory, Site as Named},
 };
 use arc_swap::{ArcSwap, ArcSwapOption};
 use azurenotch_config::snapshot::Snapshot;
+use azurenotch_core::version::steering::{Fleet, Site, Steering};
 use azurenotch_wire::{
     event::Reachability,
     id::{DataCentre, Host, Region},
+    operator::Choice,
+    peer::State,
 };
 use std::{
+    collections::BTreeMap,
     net::{IpAddr, SocketAddr},
     sync::{
         Arc, OnceLock,
@@ -19,12 +23,10 @@
     time::Duration,
 };
 
-/// Hosts in one look-up answer.
-const HOSTS: usize = 4;
 /// Alternatives in one refusal.
 const ALTERNATIVES: usize = 3;
-/// Weight of an idle host.
-const WEIGHT: f32 = 100.0;
+/// Time for which callers keep an answer of a host without a configuration.
+const UNCONFIGURED_LIFETIME: Duration = Duration::from_secs(1);
 
 /// Look-ups from the configuration and the judgement of other hosts.
 #[derive(Debug)]
@@ -33,20 +35,30 @@
     data_centre: DataCentre,
     /// Set once the port for callers is open.
     address: OnceLock<SocketAddr>,
-    snapshot: ArcSwapOption<Snapshot>,
-    peers: Arc<ArcSwap<Vec<Peer>>>,
+    /// Table of the configuration version in force.
+    table: ArcSwapOption<Table>,
+    /// Hosts as last judged, this one included.
+    fleet: ArcSwap<Fleet>,
     leaving: AtomicBool,
 }
 
+/// What look-ups need of one configuration version.
+#[derive(Debug)]
+struct Table {
+    steering: Steering,
+    regions: BTreeMap<DataCentre, Region>,
+    lifetime: Duration,
+}
+
 impl Hosts {
     /// Creates a directory that knows only its own host.
-    pub fn new(host: Host, data_centre: DataCentre, peers: Arc<ArcSwap<Vec<Peer>>>) -> Self {
+    pub fn new(host: Host, data_centre: DataCentre) -> Self {
         Self {
             host,
             data_centre,
             address: OnceLock::new(),
-            snapshot: ArcSwapOption::empty(),
-            peers,
+            table: ArcSwapOption::empty(),
+            fleet: ArcSwap::default(),
             leaving: AtomicBool::new(false),
         }
     }
@@ -58,100 +70,107 @@
     }
 
     /// Takes over the blocks of a snapshot.
-    pub fn adopt(&self, snapshot: Arc<Snapshot>) {
-        self.snapshot.store(Some(snapshot));
+    pub fn adopt(&self, snapshot: &Snapshot, peers: &[Peer]) {
+        let document = &snapshot.document;
+        let own = document.data_centres.get(&self.data_centre);
+        // Clients of no block use the region of the host that they ask.
+        let others = document
+            .data_centres
+            .values()
+            .filter(|region| Some(*region) != own);
+        let mut fallback = own.into_iter().chain(others).cloned().collect::<Vec<_>>();
+        fallback.dedup();
+        self.table.store(Some(Arc::new(Table {
+            steering: Steering::new(&document.blocks, fallback),
+            regions: document.data_centres.clone(),
+            lifetime: document.fleet.look_up_lifetime,
+        })));
+        self.update(peers);
     }
 
-    /// Leaves this host out of all answers from now on.
-    pub fn leave(&self) {
-        self.leaving.store(true, Ordering::Relaxed);
-    }
-
-    /// Returns live hosts ordered by the regions of the client's block.
-    fn ranked(&self, client: IpAddr, with_self: bool) -> Vec<Site> {
-        let Some(snapshot) = self.snapshot.load_full() else {
-            return Vec::new();
+    /// Takes over the judgement of the other hosts.
+    pub fn update(&self, peers: &[Peer]) {
+        let Some(table) = self.table.load_full() else {
+            return;
         };
-        let regions = regions(&snapshot, client);
-        let rank = |data_centre: &DataCentre| {
-            let region = snapshot.document.data_centres.get(data_centre);
-            regions
-                .iter()
-                .position(|wanted| Some(wanted) == region)
-                .unwrap_or(regions.len())
+        let state = if self.leaving.load(Ordering::Relaxed) {
+            State::Leaving
+        } else {
+            State::Live
         };
-        let is_own_listed = with_self && !self.leaving.load(Ordering::Relaxed);
-        let own = self
-            .address
-            .get()
-            .filter(|_| is_own_listed)
-            .map(|address| Site {
-                host: self.host.to_string(),
-                address: address.to_string(),
-                weight: WEIGHT as u32,
-            });
-        let peers = self.peers.load();
-        let mut sites = peers
-            .iter()
-            .filter(|peer| peer.state == Reachability::Live)
-            .map(|peer| (rank(&peer.data_centre), site(peer)))
-            .collect::<Vec<_>>();
-        sites.extend(own.map(|own| (rank(&self.data_centre), own)));
-        sites.sort_by_cached_key(|(rank, site)| (*rank, spread(client, &site.host)));
-        sites.into_iter().map(|(_, site)| site).collect()
+        let own = self.address.get().and_then(|address| {
+            Some(Site {
+                host: self.host.clone(),
+                address: *address,
+                region: table.regions.get(&self.data_centre)?.clone(),
+                data_centre: self.data_centre.clone(),
+                reachability: Reachability::Live,
+                state,
+                load: 0.0,
+            })
+        });
+        let others = peers.iter().filter_map(|peer| {
+            Some(Site {
+                host: peer.host.clone(),
+                address: peer.address,
+                region: table.regions.get(&peer.data_centre)?.clone(),
+                data_centre: peer.data_centre.clone(),
+                reachability: peer.state,
+                state: peer.own_state,
+                load: peer.load,
+            })
+        });
+        let sites = others.chain(own).collect::<Vec<_>>();
+        self.fleet.store(Arc::new(Fleet::new(&sites)));
+    }
+
+    /// Leaves this host out of all answers from now on.
+    pub fn leave(&self, peers: &[Peer]) {
+        self.leaving.store(true, Ordering::Relaxed);
+        self.update(peers);
     }
 }
 
 impl Directory for Hosts {
     fn look_up(&self, client: IpAddr) -> Answer {
-        let lifetime = self
-            .snapshot
-            .load()
-            .as_ref()
-            .map_or(Duration::from_secs(1), |it| {
-                it.document.fleet.look_up_lifetime
-            });
-        let mut hosts = self.ranked(client, true);
-        hosts.truncate(HOSTS);
+        let Some(table) = self.table.load_full() else {
+            let lifetime_ms = UNCONFIGURED_LIFETIME.as_millis() as u64;
+            return Answer {
+                lifetime_ms,
+                hosts: Vec::new(),
+            };
+        };
+        let lookup = table
+            .steering
+            .choose(client, &self.fleet.load(), table.lifetime);
         Answer {
-            lifetime_ms: u64::try_from(lifetime.as_millis()).unwrap_or(u64::MAX),
-            hosts,
+            lifetime_ms: lookup.lifetime_ms,
+            hosts: lookup.hosts.iter().map(named).collect(),
         }
     }
 
     fn alternatives(&self, client: IpAddr) -> Vec<String> {
-        let sites = self.ranked(client, false).into_iter().take(ALTERNATIVES);
-        sites.map(|site| site.address).collect()
+        let Some(table) = self.table.load_full() else {
+            return Vec::new();
+        };
+        let lookup = table
+            .steering
+            .choose(client, &self.fleet.load(), table.lifetime);
+        let others = lookup
+            .hosts
+            .iter()
+            .filter(|choice| choice.host != self.host);
+        others
+            .take(ALTERNATIVES)
+            .map(|choice| choice.address.to_string())
+            .collect()
     }
 }
 
-fn site(peer: &Peer) -> Site {
-    let headroom = (1.0 - peer.load).clamp(0.01, 1.0);
-    Site {
-        host: peer.host.to_string(),
-        address: peer.address.to_string(),
-        weight: (WEIGHT * headroom) as u32,
+fn named(choice: &Choice) -> Named {
+    Named {
+        host: choice.host.to_string(),
+        address: choice.address.to_string(),
+        weight: choice.weight,
     }
 }
-
-/// Returns the regions of the longest block that holds the client.
-fn regions(snapshot: &Snapshot, client: IpAddr) -> Vec<Region> {
-    let blocks = snapshot
-        .document
-        .blocks
-        .iter()
-        .filter(|(block, _)| block.contains(&client));
-    blocks
-        .max_by_key(|(block, _)| block.prefix_len())
-        .map(|(_, regions)| regions.clone())
-        .unwrap_or_default()
-}
-
-/// Spreads clients over the hosts of a region, the same way at every host.
-fn spread(client: IpAddr, host: &str) -> u64 {
-    use std::hash::{Hash, Hasher};
-    let mut hasher = rustc_hash::FxHasher::default();
-    client.hash(&mut hasher);
-    host.hash(&mut hasher);
-    hasher.finish()
-}
--- a/crates/daemon/src/process/node.rs
+++ b/crates/daemon/src/process/node.rs
@@ -65,6 +65,8 @@
     pub operator: SocketAddr,
     /// Whether it answers.
     pub state: Reachability,
+    /// State in which it last saw itself.
+    pub own_state: State,
     /// Configuration version that it last reported.
     pub version: Version,
     /// Share of its capacity in use, 0 to 1.
--- a/crates/daemon/src/process/peers.rs
+++ b/crates/daemon/src/process/peers.rs
@@ -2,6 +2,7 @@
 
 use crate::process::{
     configuration,
+    directory::Hosts,
     node::{Node, Peer},
     transport,
 };
@@ -49,6 +50,8 @@
 pub struct Arguments {
     /// Shared state of the host.
     pub node: Arc<Node>,
+    /// Directory that is told of the judgement.
+    pub hosts: Arc<Hosts>,
     /// Actor that is told of versions.
     pub configuration: ActorRef<configuration::Message>,
 }
@@ -57,6 +60,7 @@
 #[derive(Debug)]
 pub struct State {
     node: Arc<Node>,
+    hosts: Arc<Hosts>,
     configuration: ActorRef<configuration::Message>,
     membership: Membership,
     /// Hosts on the platform's list.
@@ -80,6 +84,7 @@
     ) -> Result<State, ActorProcessingErr> {
         let Arguments {
             node,
+            hosts,
             configuration,
         } = arguments;
         let own = &node.setting.host;
@@ -88,6 +93,7 @@
         drop(myself.send_interval(INTERVAL, || Message::Round));
         Ok(State {
             node,
+            hosts,
             configuration,
             membership,
             roster: BTreeMap::new(),
@@ -272,6 +278,7 @@
                     peer,
                     operator,
                     state: member.state,
+                    own_state: member.own_state,
                     version: heard.map(|heard| heard.version).unwrap_or_default(),
                     load: heard.map_or(0.0, |heard| heard.load),
                     roles: heard.map(|heard| heard.roles.clone()).unwrap_or_default(),
@@ -280,6 +287,7 @@
             .collect::<Vec<_>>();
         peers.sort_by(|a, b| a.host.cmp(&b.host));
         if **self.node.peers.load() != peers {
+            self.hosts.update(&peers);
             self.node.peers.store(Arc::new(peers));
         }
     }
