--- a/crates/daemon/src/connection/listener.rs
+++ b/crates/daemon/src/connection/listener.rs
@@ -214,20 +214,33 @@
         }
     };
     let stream = connection.into_parts().io.into_inner().into_inner();
-    let mut farewell = Vec::new();
-    if let Err(error) = result {
+    if let Err(error) = &result {
         debug!(log, "listener: connection ended"; "peer" => %peer, "error" => %error);
-        if error.is_timeout() && exchange.is_begun() {
-            farewell = gateway.refuse_raw(&Refusal::not_run(Reason::SlowCaller), peer.ip());
-        } else if !error.is_parse() {
-            // A caller must not take a broken answer for a complete one, so nothing follows it.
+    }
+    finish(&gateway, stream, peer, &exchange, result).await;
+}
+
+/// Closes a connection in the way that tells its caller the truth about the last answer.
+async fn finish(
+    gateway: &Gateway,
+    stream: TcpStream,
+    peer: SocketAddr,
+    exchange: &Exchange,
+    result: hyper::Result<()>,
+) {
+    match result {
+        Err(error) if error.is_timeout() && exchange.is_begun() => {
+            let refusal = Refusal::not_run(Reason::SlowCaller);
+            part(stream, &gateway.refuse_raw(&refusal, peer.ip())).await;
+        }
+        // A caller must not take a broken answer for a complete one, so nothing follows it.
+        Err(error) if !error.is_parse() => {
             if exchange.ends_with_connection() {
                 drop(stream.set_zero_linger());
             }
-            return;
         }
+        Ok(()) | Err(_) => part(stream, &[]).await,
     }
-    part(stream, &farewell).await;
 }
 
 /// Returns the refusals that replace the HTTP library's answers to malformed requests.
--- a/crates/daemon/src/request/forward.rs
+++ b/crates/daemon/src/request/forward.rs
@@ -100,16 +100,19 @@
         }
         job.gateway.metrics.retried(job.grant.name.as_str());
     }
-    let unknown = progress
-        .refusal
+    conclude(job, progress)
+}
+
+/// Ends a request of which no attempt was answered properly.
+fn conclude(job: Job<'_>, progress: Progress) -> Result<Response<Body>> {
+    let refusal = progress.refusal;
+    let unknown = refusal
         .as_ref()
         .is_some_and(|refusal| refusal.outcome == Outcome::Unknown);
     match progress.shed {
         // An unknown outcome of another attempt must not be hidden behind a shed request.
         Some(answer) if !unknown => Ok(job.pass_on(answer, progress.waited)),
-        _ => Err(progress
-            .refusal
-            .unwrap_or(Refusal::not_run(Reason::NoServer))),
+        _ => Err(refusal.unwrap_or(Refusal::not_run(Reason::NoServer))),
     }
 }
 
