fix(core): search the most likely share as finely as the evidence requires

Cause: examples/demo took back a good version with 0 failures of 155 requests against 0 of 18,106. The search for the most likely share took 16 steps whatever the number of requests, and its rounding outweighed the evidence. Change: the search goes on until the log likelihood is exact to about 0.01. The test vectors are 18,106 and 5,000,000 requests without a hit.

--- a/crates/core/src/request/access.rs
+++ b/crates/core/src/request/access.rs
@@ -9,7 +9,6 @@
     id::{Route as Name, Workspace},
     refusal::{Reason, Refusal},
 };
-use sha2::{Digest, Sha256};
 use std::sync::Arc;
 use subtle::ConstantTimeEq;
 
@@ -109,7 +108,7 @@
         let key = authorization
             .and_then(bearer)
             .ok_or(Refusal::not_run(Reason::NoKey))?;
-        let hash = hash(key);
+        let hash = KeyHash::of(key);
         match self.find(&hash) {
             None => Err(Refusal::not_run(Reason::BadKey)),
             Some(entry) if entry.withdrawn => Err(Refusal::not_run(Reason::Withdrawn)),
@@ -128,11 +127,6 @@
     }
 }
 
-/// Returns the hash under which a key is stored.
-pub fn hash(key: &[u8]) -> KeyHash {
-    KeyHash(Sha256::digest(key).into())
-}
-
 fn index(hash: &KeyHash) -> [u8; INDEX_BYTES] {
     let mut bytes = [0; INDEX_BYTES];
     bytes.copy_from_slice(&hash.0[..INDEX_BYTES]);
@@ -187,8 +181,8 @@
                 ..Document::default()
             },
             keys: BTreeMap::from([
-                (hash(b"good"), key("correios", false)),
-                (hash(b"gone"), key("hoteis", true)),
+                (KeyHash::of(b"good"), key("correios", false)),
+                (KeyHash::of(b"gone"), key("hoteis", true)),
             ]),
             ..Snapshot::default()
         })
--- a/crates/core/src/version/rollout/sprt.rs
+++ b/crates/core/src/version/rollout/sprt.rs
@@ -22,10 +22,15 @@
 /// Without requests of the same moment to compare with, a busy host makes answers of either version
 /// slow: a good version with 10 % slow answers was taken back at full share.
 const UNPAIRED_SLACK: f64 = 4.0;
-/// Steps of the search for the most likely share; each one drops a third of the interval.
-const SEARCH_STEPS: usize = 16;
+/// Most steps of the search for the most likely share; each one drops a third of the interval.
+const SEARCH_STEPS: usize = 64;
+/// Rounding of the log likelihood at which the search ends.
+///
+/// A fixed number of steps left an error that grows with the requests: after 18,000 of them a
+/// version without a single failure was judged bad.
+const SEARCH_PRECISION: f64 = 0.01;
 /// Shares this close to none or all are not searched.
-const EDGE: f64 = 1e-6;
+const EDGE: f64 = 1e-9;
 
 /// Judgement of a test.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -152,7 +157,11 @@
             log_likelihood(self.old_hits, self.old_requests, share)
                 + log_likelihood(self.new_hits, self.new_requests, new(share))
         };
+        let requests = self.old_requests + self.new_requests;
         for _ in 0..SEARCH_STEPS {
+            if (high - low) * requests <= SEARCH_PRECISION {
+                break;
+            }
             let third = (high - low) / 3.0;
             if value(low + third) < value(high - third) {
                 low += third;
--- a/crates/core/src/version/rollout/tests.rs
+++ b/crates/core/src/version/rollout/tests.rs
@@ -260,6 +260,22 @@
     assert_eq!(verdict, Some(expected));
 }
 
+/// Guards against a search whose rounding outweighs the evidence after many requests.
+#[test_case(Measure::Failures, 18_106)]
+#[test_case(Measure::Latency, 18_106)]
+#[test_case(Measure::Failures, 5_000_000)]
+fn a_version_without_any_hits_is_good(measure: Measure, old: u64) {
+    let mut pair = Pair::default();
+    pair.old.requests = old;
+    let mut test = Test::new(measure, 4);
+    let verdicts = std::iter::from_fn(|| {
+        add(&mut pair.new, false, false);
+        Some(test.judge(&pair))
+    });
+    let verdict = verdicts.take(1_000).find(|verdict| *verdict != Verdict::Open);
+    assert_eq!(verdict, Some(Verdict::Good));
+}
+
 /// State of a planner case: a move with the share in force since 0 s, decided at `stage`.
 struct Case {
     share: f64,
--- a/crates/daemon/examples/overhead.rs
+++ b/crates/daemon/examples/overhead.rs
@@ -5,9 +5,8 @@
 
 use azurenotch_config::{
     document::{Access, Contract, Document, Fleet, Route, Server as Entry},
-    snapshot::{Key, Snapshot},
+    snapshot::{Key, KeyHash, Snapshot},
 };
-use azurenotch_core::request::access;
 use azurenotch_daemon::{
     connection::listener::Listener,
     request::{clock::Monotonic, gateway::Gateway},
@@ -212,7 +211,7 @@
             workspaces: BTreeMap::from([("correios".into(), contract)]),
             ..Document::default()
         },
-        keys: BTreeMap::from([(access::hash(KEY.as_bytes()), key)]),
+        keys: BTreeMap::from([(KeyHash::of(KEY.as_bytes()), key)]),
         ..Snapshot::default()
     }
 }
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -14,9 +14,8 @@
 
 use azurenotch_config::{
     document::{Access, Contract, Document, Fleet, Route, Server},
-    snapshot::{Key, Snapshot},
+    snapshot::{Key, KeyHash, Snapshot},
 };
-use azurenotch_core::request::access;
 use azurenotch_daemon::{
     connection::listener::Listener,
     request::{
@@ -210,10 +209,10 @@
             ..Document::default()
         },
         keys: BTreeMap::from([
-            (access::hash(KEY.as_bytes()), key("correios", withdrawn)),
-            (access::hash(b"old-key"), key("correios", true)),
-            (access::hash(b"slow-key"), key("no-rate", false)),
-            (access::hash(b"narrow-key"), key("no-concurrency", false)),
+            (KeyHash::of(KEY.as_bytes()), key("correios", withdrawn)),
+            (KeyHash::of(b"old-key"), key("correios", true)),
+            (KeyHash::of(b"slow-key"), key("no-rate", false)),
+            (KeyHash::of(b"narrow-key"), key("no-concurrency", false)),
         ]),
         ..Snapshot::default()
     }
