--- a/crates/core/src/version/rollout/tests.rs
+++ b/crates/core/src/version/rollout/tests.rs
@@ -272,7 +272,9 @@
         add(&mut pair.new, false, false);
         Some(test.judge(&pair))
     });
-    let verdict = verdicts.take(1_000).find(|verdict| *verdict != Verdict::Open);
+    let verdict = verdicts
+        .take(1_000)
+        .find(|verdict| *verdict != Verdict::Open);
     assert_eq!(verdict, Some(Verdict::Good));
 }
 
