fix(daemon): leave connection set-up out of the evidence about a version

Cause: examples/demo took back a good version at its step from 1 % to 51 % for latency (22 of 876 slow): the step needs new connections, which counted as slow answers. Change: the evidence counts the time from the sent request to the header of the answer.

--- a/crates/daemon/src/request/attempt.rs
+++ b/crates/daemon/src/request/attempt.rs
@@ -34,6 +34,14 @@
     pub(crate) watch: Watch,
 }
 
+/// An answer's header with the time that the backend server took, without making a connection.
+#[derive(Debug)]
+struct Exchanged {
+    response: Response<Incoming>,
+    lease: Lease,
+    service: Duration,
+}
+
 /// Why an attempt got no answer.
 #[derive(Debug)]
 pub(crate) struct Failure {
@@ -63,23 +71,31 @@
             _ => Need::Fresh,
         };
         let result = self.exchange(pool, need).await;
-        let latency = self.gateway.clock.now().since(started);
         let verdict = match &result {
-            Ok((response, _)) if is_shed(response) => Verdict::Shed,
-            Ok((response, _)) if response.status().is_server_error() => Verdict::Failed,
+            Ok(exchanged) if is_shed(&exchanged.response) => Verdict::Shed,
+            Ok(exchanged) if exchanged.response.status().is_server_error() => Verdict::Failed,
             Ok(_) => Verdict::Answered,
             Err(failure) => failure.verdict,
         };
+        // A version that has just got its share needs new connections, which is no fault of it.
+        let latency = match &result {
+            Ok(exchanged) => exchanged.service,
+            Err(_) => self.gateway.clock.now().since(started),
+        };
         watch.end(verdict, latency);
-        result.map(|(response, lease)| Answer {
-            response,
-            lease,
-            watch,
-        })
+        result.map(
+            |Exchanged {
+                 response, lease, ..
+             }| Answer {
+                response,
+                lease,
+                watch,
+            },
+        )
     }
 
     /// Sends the request and waits for the header of the answer.
-    async fn exchange(&self, pool: &Arc<Pool>, need: Need) -> Result<(Response<Incoming>, Lease)> {
+    async fn exchange(&self, pool: &Arc<Pool>, need: Need) -> Result<Exchanged> {
         let withdrawn = self.withdrawn();
         let lease = select! {
             biased;
@@ -98,9 +114,14 @@
         };
         let (response, mut lease) = answered?;
         let now = self.gateway.clock.now();
-        pool.record(now, now.since(started));
+        let service = now.since(started);
+        pool.record(now, service);
         lease.prove(now);
-        Ok((response, lease))
+        Ok(Exchanged {
+            response,
+            lease,
+            service,
+        })
     }
 
     /// Sends the request, a second time if the connection may have gone silent.
