--- /dev/null
+++ b/crates/core/src/version/balance/tests.rs
@@ -0,0 +1,180 @@
+//! Tests of the parent module.
+
+use super::*;
+use test_case::test_case;
+
+const LATENCY: Duration = Duration::from_millis(5);
+
+fn candidate(server: &str, tier: Tier) -> Candidate {
+    Candidate {
+        server: server.into(),
+        release: "1".into(),
+        tier,
+        slots: 4,
+        sharers: 1,
+        draining: false,
+        cold: false,
+    }
+}
+
+fn pick(balance: &mut Balance, now: Instant) -> Option<String> {
+    let release = "1".into();
+    let index = balance.pick(
+        now,
+        &Query {
+            release: &release,
+            excluded: &[],
+        },
+    )?;
+    balance.begin(index);
+    Some(balance.candidate(index).server.to_string())
+}
+
+fn fail(balance: &mut Balance, index: usize, now: Instant, times: usize) -> Option<Shift> {
+    let mut shift = None;
+    for _ in 0..times {
+        balance.begin(index);
+        shift = balance.end(index, now, Verdict::Failed, LATENCY).or(shift);
+    }
+    shift
+}
+
+#[test]
+fn a_remote_server_takes_only_overflow_and_keeps_a_reserve() {
+    let mut balance = Balance::new(
+        &[
+            candidate("far", Tier::Remote),
+            candidate("near", Tier::Local),
+        ],
+        1,
+    );
+    let picks = (0..7)
+        .map(|_| pick(&mut balance, Instant::ZERO))
+        .collect::<Vec<_>>();
+    let near = picks
+        .iter()
+        .take(4)
+        .all(|pick| pick.as_deref() == Some("near"));
+    assert!(near, "local slots come first: {picks:?}");
+    assert_eq!(
+        picks[4..6],
+        [Some("far".to_owned()), Some("far".to_owned())]
+    );
+    assert_eq!(
+        picks[6], None,
+        "half of the remote slots stay free for callers there"
+    );
+}
+
+struct Case {
+    change: fn(&mut Candidate),
+}
+
+#[test_case(Case { change: |candidate| candidate.draining = true }; "draining")]
+#[test_case(Case { change: |candidate| candidate.release = "2".into() }; "other version")]
+fn takes_no_new_work(case: Case) {
+    let mut changed = candidate("a", Tier::Local);
+    (case.change)(&mut changed);
+    let mut balance = Balance::new(&[candidate("a", Tier::Local)], 1);
+    assert!(pick(&mut balance, Instant::ZERO).is_some());
+    balance.update(Instant::ZERO, &[changed]);
+    assert_eq!(pick(&mut balance, Instant::ZERO), None);
+    assert_eq!(balance.in_flight(), 1, "running work is not forgotten");
+}
+
+#[test]
+fn never_ejects_more_than_half_of_a_tier() {
+    let servers = ["a", "b", "c"].map(|name| candidate(name, Tier::Local));
+    let mut balance = Balance::new(&servers, 1);
+    assert_eq!(
+        fail(&mut balance, 0, Instant::ZERO, 5),
+        Some(Shift::Ejected)
+    );
+    assert_eq!(fail(&mut balance, 1, Instant::ZERO, 50), None);
+    let picked = pick(&mut balance, Instant::ZERO);
+    assert!(picked.is_some_and(|server| server != "a"));
+}
+
+#[test]
+fn an_ejected_server_comes_back_in_steps() {
+    let mut balance = Balance::new(
+        &[candidate("a", Tier::Local), candidate("b", Tier::Local)],
+        1,
+    );
+    fail(&mut balance, 0, Instant::ZERO, 5);
+    assert!(
+        balance.entries[0]
+            .health
+            .is_ejected(Instant::from_millis(4_999))
+    );
+    let back = Instant::from_millis(5_000);
+    assert!(!balance.entries[0].health.is_ejected(back));
+    balance.begin(0);
+    assert!(
+        !balance.entries[0].has_free_slot(back),
+        "one request at a time at first"
+    );
+    balance.begin(0);
+    assert!(balance.entries[0].has_free_slot(Instant::from_millis(15_000)));
+}
+
+#[test]
+fn a_slow_server_gets_less_work() {
+    let mut balance = Balance::new(
+        &[
+            candidate("slow", Tier::Local),
+            candidate("fast", Tier::Local),
+        ],
+        7,
+    );
+    for (index, millis) in [(0, 50), (1, 5)] {
+        balance.begin(index);
+        let latency = Duration::from_millis(millis);
+        balance.end(index, Instant::ZERO, Verdict::Answered, latency);
+    }
+    assert_eq!(pick(&mut balance, Instant::ZERO).as_deref(), Some("fast"));
+}
+
+#[test]
+fn hosts_share_slots_and_use_idle_ones_of_others() {
+    let shared = Candidate {
+        sharers: 4,
+        ..candidate("a", Tier::Local)
+    };
+    let mut balance = Balance::new(&[shared], 1);
+    assert!(pick(&mut balance, Instant::ZERO).is_some());
+    assert_eq!(
+        pick(&mut balance, Instant::ZERO),
+        None,
+        "one of four slots to begin with"
+    );
+    for _ in 0..8 {
+        balance.end(0, Instant::ZERO, Verdict::Answered, LATENCY);
+        while pick(&mut balance, Instant::ZERO).is_some() {}
+    }
+    assert_eq!(
+        balance.in_flight(),
+        4,
+        "all slots, since the server sheds nothing"
+    );
+    balance.end(0, Instant::ZERO, Verdict::Shed, LATENCY);
+    assert_eq!(
+        pick(&mut balance, Instant::ZERO),
+        None,
+        "the other hosts use their slots"
+    );
+}
+
+#[test]
+fn indices_of_running_requests_survive_an_update() {
+    let mut balance = Balance::new(&[candidate("a", Tier::Local)], 1);
+    assert_eq!(pick(&mut balance, Instant::ZERO).as_deref(), Some("a"));
+    balance.update(Instant::ZERO, &[candidate("b", Tier::Local)]);
+    assert_eq!(pick(&mut balance, Instant::ZERO).as_deref(), Some("b"));
+    balance.end(0, Instant::ZERO, Verdict::Answered, LATENCY);
+    assert_eq!(balance.in_flight(), 1);
+    assert_eq!(
+        balance.entries[1].in_flight, 1,
+        "the end was counted for server a"
+    );
+}
