fix(daemon): use the limits of the settings

Cause: header-bytes, header-timeout, body-idle-timeout and queue were checked and then ignored; idle-timeout cannot be told apart from header-timeout by the HTTP library. Change: the listener and the gateway take them; idle-timeout is gone, and the defaults are those that were in force (15 s, 10 s). Measured: nothing; a new test sets the header limit below the usual one.

--- a/crates/config/src/setting.rs
+++ b/crates/config/src/setting.rs
@@ -61,15 +61,13 @@
 pub struct Limits {
     /// Largest header of a request in bytes.
     pub header_bytes: u64,
-    /// Longest time for the header of a request to arrive.
+    /// Longest time for the header of a request, idle time before it included.
     pub header_timeout: Duration,
-    /// Time after which a connection without a request is closed.
-    pub idle_timeout: Duration,
     /// Longest pause between two parts of a body.
     pub body_idle_timeout: Duration,
     /// Connections of callers that are open at the same time.
     pub connections: u32,
-    /// Requests that wait for admission at the same time.
+    /// Requests of one service that wait for a free slot at the same time.
     pub queue: u32,
 }
 
@@ -77,9 +75,8 @@
     fn default() -> Self {
         Self {
             header_bytes: 16 << 10,
-            header_timeout: Duration::from_secs(5),
-            idle_timeout: Duration::from_mins(1),
-            body_idle_timeout: Duration::from_secs(15),
+            header_timeout: Duration::from_secs(15),
+            body_idle_timeout: Duration::from_secs(10),
             connections: 4096,
             queue: 512,
         }
@@ -136,8 +133,8 @@
     /// | Section | Field | Default |
     /// | --- | --- | --- |
     /// | `[platform]` | `timeout` | `2s` |
-    /// | `[limits]` | `header-bytes`, `header-timeout` | `16KiB`, `5s` |
-    /// | `[limits]` | `idle-timeout`, `body-idle-timeout` | `1m`, `15s` |
+    /// | `[limits]` | `header-bytes`, `header-timeout` | `16KiB`, `15s` |
+    /// | `[limits]` | `body-idle-timeout` | `10s` |
     /// | `[limits]` | `connections`, `queue` | `4096`, `512` |
     /// | `[log]` | `level` | `info` |
     ///
@@ -273,14 +270,12 @@
         section.default_in("header-bytes", Size(default.header_bytes), sizes, errors);
     let mut time = |field, default| section.default_in(field, default, times.clone(), errors);
     let header_timeout = time("header-timeout", default.header_timeout);
-    let idle_timeout = time("idle-timeout", default.idle_timeout);
     let body_idle_timeout = time("body-idle-timeout", default.body_idle_timeout);
     let connections = section.default_in("connections", default.connections, 1..=1_000_000, errors);
     let queue = section.default_in("queue", default.queue, 1..=1_000_000, errors);
     Some(Limits {
         header_bytes: header_bytes?.0,
         header_timeout: header_timeout?,
-        idle_timeout: idle_timeout?,
         body_idle_timeout: body_idle_timeout?,
         connections: connections?,
         queue: queue?,
--- a/crates/daemon/src/connection/listener.rs
+++ b/crates/daemon/src/connection/listener.rs
@@ -21,7 +21,7 @@
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
     select,
-    sync::{OwnedSemaphorePermit, Semaphore},
+    sync::Semaphore,
     time::{MissedTickBehavior, interval, sleep, timeout},
 };
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
@@ -71,9 +71,17 @@
     gateway: Arc<Gateway>,
     places: Arc<Semaphore>,
     farewells: Arc<Semaphore>,
+    header: Header,
     log: Logger,
 }
 
+/// Limits of a request's header.
+#[derive(Debug, Clone, Copy)]
+struct Header {
+    bytes: usize,
+    timeout: Duration,
+}
+
 impl Listener {
     /// Opens the caller port.
     ///
@@ -91,6 +99,10 @@
             gateway,
             places: Arc::new(Semaphore::new(MAX_CONNECTIONS)),
             farewells: Arc::new(Semaphore::new(MAX_FAREWELLS)),
+            header: Header {
+                bytes: HEADER_LIMIT,
+                timeout: HEADER_TIMEOUT,
+            },
             log,
         })
     }
@@ -102,6 +114,13 @@
         self
     }
 
+    /// Sets the longest header in bytes and the longest time for it, idle time before it included.
+    #[must_use]
+    pub fn with_header(mut self, bytes: usize, timeout: Duration) -> Self {
+        self.header = Header { bytes, timeout };
+        self
+    }
+
     /// Returns the address of the port.
     pub fn address(&self) -> SocketAddr {
         self.address
@@ -160,7 +179,11 @@
         let gateway = Arc::clone(&self.gateway);
         if let Ok(place) = Arc::clone(&self.places).try_acquire_owned() {
             let log = self.log.clone();
-            tasks.spawn(serve(gateway, stream, peer, stop.clone(), place, log));
+            let served = serve(gateway, stream, peer, self.header, stop.clone(), log);
+            tasks.spawn(async move {
+                served.await;
+                drop(place);
+            });
         } else if let Ok(place) = Arc::clone(&self.farewells).try_acquire_owned() {
             let refusal = Refusal::not_run(Reason::Overload);
             let refusal = gateway.refuse_raw(&refusal, peer.ip());
@@ -177,8 +200,8 @@
     gateway: Arc<Gateway>,
     stream: TcpStream,
     peer: SocketAddr,
+    header: Header,
     stop: CancellationToken,
-    _place: OwnedSemaphorePermit,
     log: Logger,
 ) {
     let _open = Unit::new(&gateway.metrics.connections);
@@ -195,8 +218,8 @@
     });
     let mut connection = Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(HEADER_TIMEOUT)
-        .max_header_size(HEADER_LIMIT)
+        .header_read_timeout(header.timeout)
+        .max_header_size(header.bytes)
         .max_buf_size(BUFFER)
         .serve_connection(TokioIo::new(stream), service);
     let mut linger = pin!(async {
--- a/crates/daemon/src/process/daemon.rs
+++ b/crates/daemon/src/process/daemon.rs
@@ -178,12 +178,18 @@
         .with_directory(Arc::clone(&hosts) as _)
         .with_freshness(Arc::clone(&evidence) as _)
         .with_shift(Arc::clone(&versions) as _)
+        .with_caller_stall(setting.limits.body_idle_timeout)
+        .with_waiting(setting.limits.queue as usize)
         .with_log(log.clone());
         let gateway = Arc::new(gateway);
         let callers = Listener::bind(own.listen, Arc::clone(&gateway), log.clone())
             .await
             .context(CallersSnafu)?
-            .with_connections(setting.limits.connections as usize);
+            .with_connections(setting.limits.connections as usize)
+            .with_header(
+                setting.limits.header_bytes as usize,
+                setting.limits.header_timeout,
+            );
         let peer_port = bind("hosts", own.peer).await?;
         let operator_port = bind("operators", own.operator).await?;
         setting.host.listen = callers.address();
--- a/crates/daemon/src/request/gateway.rs
+++ b/crates/daemon/src/request/gateway.rs
@@ -47,6 +47,11 @@
 /// Time for which callers keep the answer of a host that was not given a directory.
 const LOOK_UP_LIFETIME: Duration = Duration::from_secs(10);
 
+/// Longest pause of a caller in the middle of a body, unless set otherwise.
+pub const CALLER_STALL: Duration = Duration::from_secs(10);
+/// Requests of one service that may wait for a free slot, unless set otherwise.
+const WAITING: usize = 512;
+
 /// Result of a step on a request's path.
 pub(crate) type Result<T, E = Refusal> = std::result::Result<T, E>;
 
@@ -63,6 +68,9 @@
     stopping: AtomicBool,
     transfers: Transfers,
     log: Logger,
+    caller_stall: Duration,
+    /// Requests of one service that may wait for a free slot.
+    waiting: usize,
     pub(crate) clock: Arc<dyn Clock>,
     pub(crate) admission: Arc<dyn Admission>,
     pub(crate) directory: Arc<dyn Directory>,
@@ -110,6 +118,8 @@
             stopping: AtomicBool::new(false),
             transfers: Transfers::default(),
             log: Logger::root(Discard, o!()),
+            caller_stall: CALLER_STALL,
+            waiting: WAITING,
             clock,
             admission: Arc::new(Local::new()),
             directory: Arc::new(Fixed::new(LOOK_UP_LIFETIME)),
@@ -148,6 +158,20 @@
         self
     }
 
+    /// Sets the longest pause of a caller in the middle of a body.
+    #[must_use]
+    pub fn with_caller_stall(mut self, stall: Duration) -> Self {
+        self.caller_stall = stall;
+        self
+    }
+
+    /// Sets how many requests of one service may wait for a free slot.
+    #[must_use]
+    pub fn with_waiting(mut self, requests: usize) -> Self {
+        self.waiting = requests;
+        self
+    }
+
     /// Sets the log.
     #[must_use]
     pub fn with_log(mut self, log: Logger) -> Self {
@@ -175,6 +199,7 @@
             snapshot,
             &self.here,
             previous.as_deref(),
+            self.waiting,
             self.seed,
         ));
         self.current.store(Some(Arc::clone(&current)));
@@ -292,7 +317,7 @@
         let guards = self.admit(&current, &grant)?;
         let choice = self.release(&current, &grant)?;
         self.retry.lock().begin();
-        let upload = Source::new(body, grant.route.body_limit);
+        let upload = Source::new(body, grant.route.body_limit, self.caller_stall);
         let job = Job {
             gateway: self,
             grant: &grant,
--- a/crates/daemon/src/request/upload.rs
+++ b/crates/daemon/src/request/upload.rs
@@ -13,16 +13,13 @@
 };
 use tokio::time::{Instant, Sleep, sleep};
 
-/// Longest silence of a caller in the middle of a body.
-pub const CALLER_STALL: Duration = Duration::from_secs(10);
-
 /// Why a caller's body ended early.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
 pub enum Error {
     /// The body is longer than the route takes.
     #[snafu(display("body is longer than the route's limit"))]
     TooLarge,
-    /// The caller sent nothing for [`CALLER_STALL`].
+    /// The caller sent nothing for too long.
     #[snafu(display("caller stopped sending its body"))]
     Stalled,
     /// The caller's connection broke, or its chunked coding is not valid.
@@ -43,6 +40,8 @@
     hint: SizeHint,
     empty: bool,
     limit: u64,
+    /// Longest silence of the caller in the middle of the body.
+    stall: Duration,
     state: Mutex<State>,
 }
 
@@ -66,14 +65,15 @@
 }
 
 impl Source {
-    /// Creates the source of a body that may have `limit` bytes.
-    pub fn new(body: Incoming, limit: u64) -> Self {
+    /// Creates the source of a body that may have `limit` bytes and pause for `stall`.
+    pub fn new(body: Incoming, limit: u64, stall: Duration) -> Self {
         let empty = body.is_end_stream();
         Self {
             shared: Arc::new(Shared {
                 hint: body.size_hint(),
                 empty,
                 limit,
+                stall,
                 state: Mutex::new(State {
                     body: Some(body),
                     consumed: false,
@@ -130,10 +130,10 @@
     fn poll_stall(&mut self, cx: &mut Context<'_>) -> Poll<()> {
         let stall = self
             .stall
-            .get_or_insert_with(|| Box::pin(sleep(CALLER_STALL)));
+            .get_or_insert_with(|| Box::pin(sleep(self.shared.stall)));
         if !self.armed {
             self.armed = true;
-            stall.as_mut().reset(Instant::now() + CALLER_STALL);
+            stall.as_mut().reset(Instant::now() + self.shared.stall);
             self.shared.state.lock().waiting = true;
         }
         stall.as_mut().poll(cx)
--- a/crates/daemon/src/version/current.rs
+++ b/crates/daemon/src/version/current.rs
@@ -21,9 +21,6 @@
     time::timeout,
 };
 
-/// Largest number of requests that wait for a free slot of one service.
-const MAX_WAITING: usize = 512;
-
 /// What one configuration version gives a request.
 #[derive(Debug)]
 pub struct Current {
@@ -60,6 +57,7 @@
         snapshot: Arc<Snapshot>,
         here: &DataCentre,
         previous: Option<&Self>,
+        waiting: usize,
         seed: u64,
     ) -> Self {
         let document = &snapshot.document;
@@ -78,7 +76,7 @@
             .into_iter()
             .map(|(service, candidates)| {
                 let known = previous.and_then(|it| it.groups.get(&service));
-                let group = Group::new(now, &candidates, known, seed);
+                let group = Group::new(now, &candidates, known, waiting, seed);
                 (service, group)
             })
             .collect();
@@ -133,6 +131,7 @@
         now: Instant,
         candidates: &[Candidate],
         known: Option<&Arc<Self>>,
+        waiting: usize,
         seed: u64,
     ) -> Arc<Self> {
         if let Some(known) = known {
@@ -142,7 +141,7 @@
         Arc::new(Self {
             balance: Mutex::new(Balance::new(candidates, seed)),
             freed: Notify::new(),
-            waiting: Semaphore::new(MAX_WAITING),
+            waiting: Semaphore::new(waiting),
         })
     }
 
--- a/crates/daemon/tests/connections.rs
+++ b/crates/daemon/tests/connections.rs
@@ -3,11 +3,14 @@
 mod support;
 
 use azurenotch_daemon::{
-    connection::listener::{HEADER_TIMEOUT, LINGER},
-    request::upload::CALLER_STALL,
+    connection::listener::{HEADER_TIMEOUT, LINGER, Listener},
+    request::gateway::CALLER_STALL,
 };
+use slog::{Discard, Logger, o};
+use std::{sync::Arc, time::Duration};
 use support::{BODY_LIMIT, Backend, Caller, FILL, Fixture, Frozen, KEY, Reply, get, post};
 use tokio::{sync::mpsc, task::JoinSet, time::advance};
+use tokio_util::sync::CancellationToken;
 
 fn right() -> Reply {
     Reply::Answer("200 OK", b"right".to_vec())
@@ -180,3 +183,28 @@
     advance(LINGER).await;
     fixture.task.await.expect("the listener ends");
 }
+
+/// Guards against settings of the header that are read but not used.
+#[tokio::test]
+async fn the_limit_of_the_header_is_a_setting() {
+    let backend = Backend::start(|_| Reply::Answer("200 OK", b"labels".to_vec())).await;
+    let fixture = Fixture::start(&[backend.address]).await;
+    let gateway = Arc::clone(&fixture.gateway);
+    let log = Logger::root(Discard, o!());
+    let any = "127.0.0.1:0".parse().expect("an address");
+    let listener = Listener::bind(any, gateway, log)
+        .await
+        .expect("a free port")
+        .with_header(9_000, Duration::from_secs(5));
+    let address = listener.address();
+    tokio::spawn(listener.run(CancellationToken::new()));
+    let padding = "x".repeat(10_000);
+    let request = format!("GET /read/1 HTTP/1.1\r\nhost: h\r\nx-padding: {padding}\r\n\r\n");
+    assert_eq!(
+        fixture.call(&request).await.status(),
+        401,
+        "the usual limit is larger"
+    );
+    let answer = Caller::connect(address).await.call(&request).await;
+    assert_eq!(answer.status(), 431);
+}
