--- a/crates/daemon/src/connection/listener.rs
+++ b/crates/daemon/src/connection/listener.rs
@@ -21,12 +21,12 @@
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
     select,
-    sync::{OwnedSemaphorePermit, Semaphore},
+    sync::Semaphore,
     time::{MissedTickBehavior, interval, sleep, timeout},
 };
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
-/// Longest header of a request in bytes.
+/// Longest header of a request in bytes, unless the settings say otherwise.
 pub const HEADER_LIMIT: usize = 16 * 1024;
 /// Longest time for the header of a request, idle time before it included.
 pub const HEADER_TIMEOUT: Duration = Duration::from_secs(15);
@@ -71,6 +71,7 @@
     gateway: Arc<Gateway>,
     places: Arc<Semaphore>,
     farewells: Arc<Semaphore>,
+    header_limit: usize,
     log: Logger,
 }
 
@@ -91,6 +92,7 @@
             gateway,
             places: Arc::new(Semaphore::new(MAX_CONNECTIONS)),
             farewells: Arc::new(Semaphore::new(MAX_FAREWELLS)),
+            header_limit: HEADER_LIMIT,
             log,
         })
     }
@@ -102,6 +104,13 @@
         self
     }
 
+    /// Sets the longest header of a request in bytes.
+    #[must_use]
+    pub fn with_header_limit(mut self, limit: usize) -> Self {
+        self.header_limit = limit;
+        self
+    }
+
     /// Returns the address of the port.
     pub fn address(&self) -> SocketAddr {
         self.address
@@ -158,9 +167,14 @@
         tasks: &TaskTracker,
     ) {
         let gateway = Arc::clone(&self.gateway);
+        let stop = stop.clone();
         if let Ok(place) = Arc::clone(&self.places).try_acquire_owned() {
+            let builder = self.builder();
             let log = self.log.clone();
-            tasks.spawn(serve(gateway, stream, peer, stop.clone(), place, log));
+            tasks.spawn(async move {
+                serve(&builder, gateway, stream, peer, stop, log).await;
+                drop(place);
+            });
         } else if let Ok(place) = Arc::clone(&self.farewells).try_acquire_owned() {
             let refusal = Refusal::not_run(Reason::Overload);
             let refusal = gateway.refuse_raw(&refusal, peer.ip());
@@ -170,15 +184,26 @@
             });
         }
     }
+
+    fn builder(&self) -> Builder {
+        let mut builder = Builder::new();
+        builder
+            .timer(TokioTimer::new())
+            .header_read_timeout(HEADER_TIMEOUT)
+            .max_header_size(self.header_limit)
+            // A header has to fit into the buffer in which it arrives.
+            .max_buf_size(BUFFER.max(self.header_limit));
+        builder
+    }
 }
 
 /// Serves one connection until it closes.
 async fn serve(
+    builder: &Builder,
     gateway: Arc<Gateway>,
     stream: TcpStream,
     peer: SocketAddr,
     stop: CancellationToken,
-    _place: OwnedSemaphorePermit,
     log: Logger,
 ) {
     let _open = Unit::new(&gateway.metrics.connections);
@@ -193,12 +218,7 @@
         let gateway = Arc::clone(&gateway);
         async move { Ok::<_, Infallible>(gateway.handle(request, peer).await) }
     });
-    let mut connection = Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(HEADER_TIMEOUT)
-        .max_header_size(HEADER_LIMIT)
-        .max_buf_size(BUFFER)
-        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = builder.serve_connection(TokioIo::new(stream), service);
     let mut linger = pin!(async {
         stop.cancelled().await;
         sleep(LINGER).await;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -6,6 +6,7 @@
 use bpaf::Bpaf;
 use mimalloc::MiMalloc;
 use slog::{Drain, LevelFilter, Logger, info, o};
+use snafu::CleanedErrorText;
 use std::{fs, io, path::PathBuf, process::ExitCode, sync::Arc};
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -82,7 +83,7 @@
     let daemon = match Daemon::start(setting, parts, log.clone()).await {
         Ok(daemon) => daemon,
         Err(error) => {
-            eprintln!("azurenotchd: {error}");
+            eprintln!("azurenotchd: {}", chain(&error));
             return ExitCode::from(START_FAILED);
         }
     };
@@ -99,6 +100,13 @@
     ExitCode::SUCCESS
 }
 
+/// Returns an error and its causes in one line.
+fn chain(error: &dyn std::error::Error) -> String {
+    let texts = CleanedErrorText::new(error).map(|(_, text, _)| text);
+    let texts = texts.filter(|text| !text.is_empty());
+    texts.collect::<Vec<_>>().join(": ")
+}
+
 fn logger(level: Level) -> Logger {
     let level = match level {
         Level::Critical => slog::Level::Critical,
--- a/crates/daemon/src/process/daemon.rs
+++ b/crates/daemon/src/process/daemon.rs
@@ -187,7 +187,8 @@
         let callers = Listener::bind(own.listen, Arc::clone(&gateway), log.clone())
             .await
             .context(CallersSnafu)?
-            .with_connections(setting.limits.connections as usize);
+            .with_connections(setting.limits.connections as usize)
+            .with_header_limit(setting.limits.header_bytes as usize);
         let peer_port = bind("hosts", own.peer).await?;
         let operator_port = bind("operators", own.operator).await?;
         setting.host.listen = callers.address();
