--- a/crates/daemon/src/connection/listener.rs
+++ b/crates/daemon/src/connection/listener.rs
@@ -26,7 +26,7 @@
 };
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
-/// Longest header of a request in bytes.
+/// Longest header of a request in bytes, unless the settings say otherwise.
 pub const HEADER_LIMIT: usize = 16 * 1024;
 /// Longest time for the header of a request, idle time before it included.
 pub const HEADER_TIMEOUT: Duration = Duration::from_secs(15);
@@ -177,11 +177,12 @@
         tasks: &TaskTracker,
     ) {
         let gateway = Arc::clone(&self.gateway);
+        let stop = stop.clone();
         if let Ok(place) = Arc::clone(&self.places).try_acquire_owned() {
+            let builder = self.builder();
             let log = self.log.clone();
-            let served = serve(gateway, stream, peer, self.header, stop.clone(), log);
             tasks.spawn(async move {
-                served.await;
+                serve(&builder, gateway, stream, peer, stop, log).await;
                 drop(place);
             });
         } else if let Ok(place) = Arc::clone(&self.farewells).try_acquire_owned() {
@@ -193,14 +194,25 @@
             });
         }
     }
+
+    fn builder(&self) -> Builder {
+        let mut builder = Builder::new();
+        builder
+            .timer(TokioTimer::new())
+            .header_read_timeout(self.header.timeout)
+            .max_header_size(self.header.bytes)
+            // A header has to fit into the buffer in which it arrives.
+            .max_buf_size(BUFFER.max(self.header.bytes));
+        builder
+    }
 }
 
 /// Serves one connection until it closes.
 async fn serve(
+    builder: &Builder,
     gateway: Arc<Gateway>,
     stream: TcpStream,
     peer: SocketAddr,
-    header: Header,
     stop: CancellationToken,
     log: Logger,
 ) {
@@ -216,12 +228,7 @@
         let gateway = Arc::clone(&gateway);
         async move { Ok::<_, Infallible>(gateway.handle(request, peer).await) }
     });
-    let mut connection = Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(header.timeout)
-        .max_header_size(header.bytes)
-        .max_buf_size(BUFFER)
-        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = builder.serve_connection(TokioIo::new(stream), service);
     let mut linger = pin!(async {
         stop.cancelled().await;
         sleep(LINGER).await;
