feat(daemon): measure rolling replacement, withdrawal, drain and crash

Cause: the promises about connected callers were only tested one host at a time. Change: example rolling runs six hosts and nine backend servers, replaces every host under load, withdraws a key, drains a server and crashes a host, and exits non-zero when a target is missed.

--- /dev/null
+++ b/crates/daemon/examples/rolling.rs
@@ -0,0 +1,276 @@
+//! Measures what connected callers notice of stops, withdrawals, drains and crashes.
+//!
+//! Six hosts in three data centres and nine backend servers talk real HTTP on loopback addresses.
+//! The program prints a table and exits with a failure if a target is missed.
+
+mod rolling {
+    pub mod fleet;
+    pub mod load;
+    pub mod report;
+    pub mod transfer;
+}
+
+use azurenotch_config::{change::Change, snapshot::KeyHash};
+use rolling::{
+    fleet::{Fleet, HOSTS, Result, look_up},
+    load::{Load, Tally},
+    report::Report,
+    transfer::Transfers,
+};
+use std::{
+    net::SocketAddr,
+    process::ExitCode,
+    time::{Duration, Instant},
+};
+use tokio::time;
+
+/// Seed of random choices of the stand-ins.
+const SEED: u64 = 7;
+/// Callers, each with 25 requests a second.
+const CALLERS: usize = 24;
+/// Time within which withdrawals and drains take effect.
+const TARGET: Duration = Duration::from_secs(5);
+/// Share of requests within rate that the contract allows to be refused.
+const REFUSALS: f64 = 0.001;
+/// Keys of the two workspaces.
+const KEYS: [(&str, &str); 2] = [("correios", "key-of-correios"), ("hoteis", "key-of-hoteis")];
+/// Longest time for a host to be named, left out or granted a share.
+const PATIENCE: Duration = Duration::from_secs(15);
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    println!("seed {SEED}");
+    let started = Instant::now();
+    let mut report = Report::default();
+    let result = run(&mut report).await;
+    let met = report.finish();
+    println!("{:.1} s", started.elapsed().as_secs_f64());
+    if let Err(error) = &result {
+        eprintln!("rolling: {error}");
+    }
+    if result.is_ok() && met {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
+}
+
+async fn run(report: &mut Report) -> Result<()> {
+    let mut fleet = Fleet::start(SEED).await?;
+    configure(&fleet).await?;
+    let load = Load::start(CALLERS, KEYS[0].1, fleet.callers());
+    time::sleep(Duration::from_secs(6)).await;
+    load.next().await;
+    time::sleep(Duration::from_secs(6)).await;
+    let still = load.next().await;
+    report.note("load without rolling", &still);
+    roll(report, &mut fleet, &load, &still).await?;
+    withdraw(report, &fleet).await?;
+    load.next().await;
+    drain(report, &fleet, &load).await?;
+    crash(report, &mut fleet, &load).await?;
+    load.stop().await;
+    Ok(())
+}
+
+async fn configure(fleet: &Fleet) -> Result<()> {
+    let text = fleet.document.clone();
+    let expect = azurenotch_wire::version::Version::default();
+    let (mut version, _) = fleet.change(&Change::Apply { text, expect }).await?;
+    for (workspace, key) in KEYS {
+        let grant = Change::GrantKey {
+            hash: KeyHash::of(key.as_bytes()),
+            workspace: workspace.into(),
+            name: "rolling".to_owned(),
+        };
+        (version, _) = fleet.change(&grant).await?;
+    }
+    if fleet.in_force(version, PATIENCE).await {
+        Ok(())
+    } else {
+        Err("the configuration is not in force".into())
+    }
+}
+
+/// Replaces every host in turn under load.
+async fn roll(report: &mut Report, fleet: &mut Fleet, load: &Load, still: &Tally) -> Result<()> {
+    let (mut stops, mut names) = (Duration::ZERO, Duration::ZERO);
+    for (name, data_centre) in HOSTS {
+        let host = fleet.hosts.remove(name).ok_or("the host runs")?;
+        let ports = host.ports();
+        stops = stops.max(host.stop().await?);
+        fleet.publish();
+        let started = Instant::now();
+        fleet.add(name, data_centre, ports).await?;
+        let client = client_of(data_centre);
+        while !named_everywhere(fleet, ports[0], client).await {
+            if started.elapsed() > PATIENCE {
+                return Err(format!("{name} is not named by all look-ups").into());
+            }
+            time::sleep(Duration::from_millis(20)).await;
+        }
+        names = names.max(started.elapsed());
+    }
+    time::sleep(Duration::from_secs(2)).await;
+    let tally = load.next().await;
+    report.add("rolling: requests cut", tally.cut, "0", tally.cut == 0);
+    report.note("rolling: all answers", &tally);
+    let refused = tally.refused_share();
+    let text = format!("{:.3} %", refused * 100.0);
+    report.add(
+        "rolling: refused within rate",
+        text,
+        "0.1 %",
+        refused <= REFUSALS,
+    );
+    for (name, quantile) in [("50th", 0.5), ("99th", 0.99)] {
+        let (rolling, still) = (tally.quantile_ms(quantile), still.quantile_ms(quantile));
+        let text = format!(
+            "{rolling:.1} ms, {still:.1} without: x{:.2}",
+            rolling / still
+        );
+        report.note(&format!("rolling: {name} percentile of latency"), text);
+    }
+    report.note(
+        "rolling: longest stop",
+        format!("{:.1} s", stops.as_secs_f64()),
+    );
+    let text = format!("{:.1} s", names.as_secs_f64());
+    report.note("rolling: longest time until a new host is named", text);
+    Ok(())
+}
+
+/// Withdraws a key while its connections are open and its downloads run.
+async fn withdraw(report: &mut Report, fleet: &Fleet) -> Result<()> {
+    let (workspace, key) = KEYS[1];
+    let load = Load::start(CALLERS, key, fleet.callers());
+    time::sleep(Duration::from_secs(4)).await;
+    let transfers = Transfers::start(&fleet.callers(), key).await;
+    time::sleep(Duration::from_secs(1)).await;
+    let running = transfers.running();
+    load.next().await;
+    let change = Change::WithdrawKey {
+        workspace: workspace.into(),
+        name: "rolling".to_owned(),
+    };
+    let (_, accepted) = fleet.change(&change).await?;
+    time::sleep(TARGET + Duration::from_secs(1)).await;
+    let tally = load.next().await;
+    load.stop().await;
+    let last = tally.last_sent.map_or(Duration::ZERO, |sent| {
+        sent.saturating_duration_since(accepted)
+    });
+    let text = format!("{} ms, then {tally}", last.as_millis());
+    let stopped = tally
+        .refused
+        .get("withdrawn")
+        .is_some_and(|count| *count > 0);
+    report.add(
+        "withdrawal: last request accepted",
+        text,
+        "5 s",
+        stopped && last <= TARGET,
+    );
+    let ended = transfers.last_end(accepted);
+    let text = ended.map_or("not ended".to_owned(), |it| {
+        format!("{} ms, {running} downloads", it.as_millis())
+    });
+    let met = running > 0 && ended.is_some_and(|ended| ended <= TARGET);
+    report.add("withdrawal: end of the last transfer", text, "5 s", met);
+    Ok(())
+}
+
+/// Drains a backend server under load.
+async fn drain(report: &mut Report, fleet: &Fleet, load: &Load) -> Result<()> {
+    let name = "consulta-norte-1";
+    let change = Change::Drain {
+        server: name.into(),
+        draining: true,
+    };
+    let received = || fleet.servers[name].counter().received;
+    let before = received();
+    let (_, accepted) = fleet.change(&change).await?;
+    let mut last = (received(), Duration::ZERO);
+    while accepted.elapsed() < TARGET + Duration::from_secs(1) {
+        let count = received();
+        if count > last.0 {
+            last = (count, accepted.elapsed());
+        }
+        time::sleep(Duration::from_millis(5)).await;
+    }
+    let tally = load.next().await;
+    let text = format!("{} ms", last.1.as_millis());
+    report.add(
+        "drain: last new request",
+        text,
+        "5 s",
+        before > 0 && last.1 <= TARGET,
+    );
+    report.add(
+        "drain: requests cut",
+        tally.cut + tally.failed,
+        "0",
+        tally.cut + tally.failed == 0,
+    );
+    Ok(())
+}
+
+/// Ends a host without notice.
+async fn crash(report: &mut Report, fleet: &mut Fleet, load: &Load) -> Result<()> {
+    time::sleep(Duration::from_secs(2)).await;
+    let before = load.next().await;
+    let host = fleet.hosts.remove("c2").ok_or("host c2 runs")?;
+    let address = host.address();
+    drop(host);
+    let crashed = Instant::now();
+    while named_anywhere(fleet, address, client_of("centro-1")).await {
+        if crashed.elapsed() > PATIENCE {
+            return Err("the crashed host is named on".into());
+        }
+        time::sleep(Duration::from_millis(20)).await;
+    }
+    let text = format!("{:.1} s", crashed.elapsed().as_secs_f64());
+    report.note("crash: time until look-ups leave the host out", text);
+    time::sleep(Duration::from_secs(2)).await;
+    let after = load.next().await;
+    for (name, tally) in [("before", &before), ("after", &after)] {
+        let refused = tally.refused_share();
+        let text = format!("{:.3} %: {tally}", refused * 100.0);
+        let name = format!("crash: refused within rate {name}");
+        report.add(&name, text, "0.1 %", refused <= REFUSALS);
+    }
+    Ok(())
+}
+
+/// Returns a client whose look-ups name the hosts of a data centre first.
+fn client_of(data_centre: &str) -> &'static str {
+    match data_centre {
+        "norte-1" => "10.1.0.1",
+        "centro-1" => "10.2.0.1",
+        _ => "10.3.0.1",
+    }
+}
+
+async fn named_everywhere(fleet: &Fleet, address: SocketAddr, client: &str) -> bool {
+    for host in fleet.callers() {
+        if !names(host, address, client).await {
+            return false;
+        }
+    }
+    true
+}
+
+async fn named_anywhere(fleet: &Fleet, address: SocketAddr, client: &str) -> bool {
+    for host in fleet.callers() {
+        if names(host, address, client).await {
+            return true;
+        }
+    }
+    false
+}
+
+async fn names(host: SocketAddr, address: SocketAddr, client: &str) -> bool {
+    look_up(host, client)
+        .await
+        .is_ok_and(|answer| answer.hosts.iter().any(|choice| choice.address == address))
+}
