fix(daemon): write the allocation before the budget holder stops

Cause: a stopping holder freed its own share in memory only. The next holder read it from the table as in use, and nobody reports for that incarnation again, so each planned stop of a holder locked a share for HOLD (75 min). Change: the holder answers its planned stop after the allocation without its shares is written, within the existing bound for giving up shares.

--- a/crates/daemon/src/process/budget.rs
+++ b/crates/daemon/src/process/budget.rs
@@ -1,5 +1,7 @@
 //! Actor that reports demand, applies grants and, while it holds the role, divides the budgets.
 
+mod stop;
+
 use crate::process::{
     admission::{Fleet, Seat},
     node::Node,
@@ -74,6 +76,8 @@
     version: u64,
     busy: bool,
     stopping: bool,
+    /// Answer that a planned stop waits for.
+    departure: Option<RpcReplyPort<()>>,
     shown: BTreeMap<String, f64>,
 }
 
@@ -100,6 +104,7 @@
             version: 0,
             busy: false,
             stopping: false,
+            departure: None,
             shown: BTreeMap::new(),
         })
     }
@@ -126,8 +131,9 @@
                 let _ = reply.send(answer);
             }
             Message::Granted(grant) => state.on_granted(&grant),
-            Message::Stop(reply) => state.stop(reply),
+            Message::Stop(reply) => state.stop(&myself, reply),
         }
+        state.depart();
         Ok(())
     }
 }
@@ -364,41 +370,6 @@
         }
     }
 
-    /// Gives the elastic shares back; the answer does not wait for the holder's.
-    fn stop(&mut self, reply: RpcReplyPort<()>) {
-        self.stopping = true;
-        let now = self.node.clock.now();
-        self.fleet.stop(now);
-        let Some(reporter) = &mut self.reporter else {
-            let _ = reply.send(());
-            return;
-        };
-        let token = reporter.token();
-        let report = reporter.report(now, token, true, || self.fleet.usage(now));
-        let own = self.ledger.as_ref().map(Ledger::token);
-        if own == Some(token) {
-            // The answer to a leaving host grants nothing.
-            let _ = self.on_report(&report);
-            let _ = reply.send(());
-            return;
-        }
-        let peers = self.node.peers.load();
-        let holder = peers.iter().find(|peer| {
-            peer.roles
-                .iter()
-                .any(|role| role.name == ROLE && role.token == token)
-        });
-        let address = holder.map(|peer| peer.peer);
-        let transport = Arc::clone(&self.node.transport);
-        tokio::spawn(async move {
-            if let Some(address) = address {
-                // Without an answer the shares lapse after their validity.
-                let _ = send_report(&*transport, address, &report).await;
-            }
-            let _ = reply.send(());
-        });
-    }
-
     fn record_shares(&mut self) {
         for (workspace, usable) in self.fleet.usable(self.node.clock.now()) {
             let shown = self.shown.entry(workspace.to_string()).or_default();
