fix(core): search the most likely share exactly in the sequential test

Cause: the search for the most likely share ended with an interval of 0.0015. After many requests to the running version its log likelihood there was too low by more than the bound, so a version without any failure was judged bad. Change: the search halves the interval by the slope of the log likelihood, 40 times; the slope needs no logarithm.

--- a/crates/core/src/version/rollout/sprt.rs
+++ b/crates/core/src/version/rollout/sprt.rs
@@ -22,8 +22,12 @@
 /// Without requests of the same moment to compare with, a busy host makes answers of either version
 /// slow: a good version with 10 % slow answers was taken back at full share.
 const UNPAIRED_SLACK: f64 = 4.0;
-/// Steps of the search for the most likely share; each one drops a third of the interval.
-const SEARCH_STEPS: usize = 16;
+/// Steps of the search for the most likely share; each one halves the interval.
+///
+/// The interval has to end far below one over the number of requests. With 16 thirds it ended at
+/// 0.0015, and a version without a single request was judged bad after 12,976 requests to the
+/// running one.
+const SEARCH_STEPS: usize = 40;
 /// Shares this close to none or all are not searched.
 const EDGE: f64 = 1e-6;
 
@@ -74,15 +78,15 @@
     /// Judges the counts, which only grow.
     pub fn judge(&mut self, pair: &Pair) -> Verdict {
         let sample = self.sample(pair);
-        let same = sample.best(0.0, 1.0, |share| share);
+        let same = sample.best(0.0, 1.0, Line::SAME);
         // The smallest fault that counts, in the three ranges of the running version's share.
         let slight = sample
-            .best(0.0, INCREASE_MIN, |share| share + INCREASE_MIN)
-            .max(sample.best(INCREASE_MIN, 1.0 / 3.0, |share| 2.0 * share))
-            .max(sample.best(1.0 / 3.0, 1.0, |share| f64::midpoint(share, 1.0)))
+            .best(0.0, INCREASE_MIN, Line::INCREASED)
+            .max(sample.best(INCREASE_MIN, 1.0 / 3.0, Line::DOUBLED))
+            .max(sample.best(1.0 / 3.0, 1.0, Line::HALFWAY))
             - same;
         // A version that fails most requests shows after a few of them.
-        let gross = sample.best(0.0, 1.0, |share| f64::midpoint(share, 1.0)) - same;
+        let gross = sample.best(0.0, 1.0, Line::HALFWAY) - same;
         let alarm = self.alarm / (self.round * (self.round + 1.0)) / 2.0;
         if slight.max(gross) >= ((1.0 - MISS) / alarm).ln() {
             Verdict::Bad
@@ -145,25 +149,54 @@
     /// `high` and the new version's share as `new` gives it.
     ///
     /// Both hypotheses use their own most likely share, so that the ratio accounts for the few
-    /// requests that the running version may have had.
-    fn best(&self, low: f64, high: f64, new: impl Fn(f64) -> f64) -> f64 {
+    /// requests that the running version may have had. The log likelihood is concave in the share,
+    /// so the search halves the interval by the sign of its slope.
+    fn best(&self, low: f64, high: f64, new: Line) -> f64 {
         let (mut low, mut high) = (low.max(EDGE), high.min(1.0 - EDGE));
-        let value = |share: f64| {
-            log_likelihood(self.old_hits, self.old_requests, share)
-                + log_likelihood(self.new_hits, self.new_requests, new(share))
-        };
         for _ in 0..SEARCH_STEPS {
-            let third = (high - low) / 3.0;
-            if value(low + third) < value(high - third) {
-                low += third;
+            let share = f64::midpoint(low, high);
+            let rise = slope(self.old_hits, self.old_requests, share)
+                + new.factor * slope(self.new_hits, self.new_requests, new.at(share));
+            if rise > 0.0 {
+                low = share;
             } else {
-                high -= third;
+                high = share;
             }
         }
-        value(f64::midpoint(low, high))
+        let share = f64::midpoint(low, high);
+        log_likelihood(self.old_hits, self.old_requests, share)
+            + log_likelihood(self.new_hits, self.new_requests, new.at(share))
+    }
+}
+
+/// Share of the new version as a linear function of the running version's.
+#[derive(Debug, Clone, Copy)]
+struct Line {
+    factor: f64,
+    offset: f64,
+}
+
+impl Line {
+    const SAME: Self = Self::new(1.0, 0.0);
+    const INCREASED: Self = Self::new(1.0, INCREASE_MIN);
+    const DOUBLED: Self = Self::new(2.0, 0.0);
+    /// Half of the requests that do not hit with the running version.
+    const HALFWAY: Self = Self::new(0.5, 0.5);
+
+    const fn new(factor: f64, offset: f64) -> Self {
+        Self { factor, offset }
+    }
+
+    fn at(self, share: f64) -> f64 {
+        self.factor * share + self.offset
     }
 }
 
+/// Returns the slope of the log likelihood.
+fn slope(hits: f64, requests: f64, share: f64) -> f64 {
+    hits / share - (requests - hits).max(0.0) / (1.0 - share)
+}
+
 fn log_likelihood(hits: f64, requests: f64, share: f64) -> f64 {
     hits * share.ln() + (requests - hits).max(0.0) * (1.0 - share).ln()
 }
@@ -175,3 +208,32 @@
         slow: count.slow.saturating_sub(base.slow),
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use test_case::test_case;
+
+    /// Guards against a false alarm from the search's own error when the running version has had
+    /// many requests.
+    #[test_case(0, 12_976; "no request")]
+    #[test_case(624, 31_076; "some requests")]
+    #[test_case(1, 10_000_000; "very many old requests")]
+    fn requests_without_a_hit_are_never_judged_bad(new: u64, old: u64) {
+        let count = |requests| Count {
+            requests,
+            ..Count::default()
+        };
+        let pair = Pair {
+            old: count(old),
+            new: count(new),
+        };
+        for measure in [Measure::Failures, Measure::Latency] {
+            assert_ne!(
+                Test::new(measure, 1).judge(&pair),
+                Verdict::Bad,
+                "{measure:?}"
+            );
+        }
+    }
+}
