fix(daemon): keep connections open until look-ups have expired

Cause: a planned stop set 'connection: close' on every answer together with the announcement, while callers still held look-ups that named the host; the wait also ignored that an announcement can be lost until the next heartbeat. Change: the announced stop is a state of its own; answers ask to close only after the look-up lifetime and one heartbeat interval.

--- a/crates/daemon/src/process/daemon.rs
+++ b/crates/daemon/src/process/daemon.rs
@@ -11,7 +11,7 @@
         operator_api::OperatorApi,
         peer_api::PeerApi,
         peers, planner,
-        recorder::{Recorder, wall_ms},
+        recorder::Recorder,
         role,
         serve::serve,
         slot,
@@ -40,6 +40,10 @@
 /// Longest time for each step of giving up shares, slot and roles.
 const RELEASE_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Time within which other hosts stop naming a host that announced its stop: the interval of
+/// heartbeats, because the announcement itself may be lost.
+const ANNOUNCED: Duration = Duration::from_secs(1);
+
 /// Longest time for a change to be accepted.
 const CHANGE_TIMEOUT: Duration = Duration::from_secs(15);
 
@@ -128,6 +132,7 @@
 pub struct Daemon {
     node: Arc<Node>,
     hosts: Arc<Hosts>,
+    versions: Arc<Versions>,
     actors: Actors,
     peer_api: Arc<PeerApi>,
     callers: JoinHandle<()>,
@@ -157,7 +162,7 @@
     pub async fn start(mut setting: Setting, parts: Parts, log: Logger) -> Result<Self> {
         let log = log.new(o!("host" => setting.host.name.to_string()));
         let registry = Registry::new();
-        let incarnation = incarnation();
+        let incarnation = incarnation(parts.clock.wall_ms());
         let own = &setting.host;
         let peers = Arc::new(ArcSwap::default());
         let hosts = Arc::new(Hosts::new(
@@ -195,7 +200,11 @@
         setting.host.operator = local(&operator_port, setting.host.operator)?;
         hosts.set_address(setting.host.listen);
         let node = Arc::new(Node {
-            recorder: Arc::new(Recorder::new(setting.host.name.clone(), log.clone())),
+            recorder: Arc::new(Recorder::new(
+                setting.host.name.clone(),
+                Arc::clone(&parts.clock),
+                log.clone(),
+            )),
             setting,
             incarnation,
             clock: parts.clock,
@@ -211,7 +220,7 @@
             log: log.clone(),
         });
         node.recorder.record(Kind::Started { incarnation });
-        let actors = Actors::spawn(&node, &hosts, fleet, versions, faults).await?;
+        let actors = Actors::spawn(&node, &hosts, fleet, Arc::clone(&versions), faults).await?;
         let stop = CancellationToken::new();
         let peer_api = Arc::new(PeerApi {
             node: Arc::clone(&node),
@@ -244,6 +253,7 @@
         Ok(Self {
             node,
             hosts,
+            versions,
             actors,
             peer_api,
             callers,
@@ -282,6 +292,11 @@
         &self.node
     }
 
+    /// Returns the versions that requests use and the evidence about version moves.
+    pub fn versions(&self) -> &Arc<Versions> {
+        &self.versions
+    }
+
     /// Stops gracefully and cuts no running request.
     ///
     /// The host leaves all look-ups first and keeps serving until callers' cached look-ups are
@@ -290,14 +305,15 @@
         let log = &self.node.log;
         self.node.recorder.record(Kind::Stopping);
         self.hosts.leave();
-        self.node.gateway.set_stopping();
+        self.node.gateway.set_leaving();
         // Others stop naming this host when they see its state.
         let _ = self.actors.peers.send_message(peers::Message::Announce);
         let lifetime = self
             .node
             .snapshot()
             .map(|snapshot| snapshot.document.fleet.look_up_lifetime);
-        time::sleep(lifetime.unwrap_or_default()).await;
+        // Callers stay until no look-up that named this host is still valid.
+        time::sleep(lifetime.unwrap_or_default() + ANNOUNCED).await;
         self.stop_callers.cancel();
         if let Err(error) = self.callers.await {
             warn!(log, "daemon: port for callers failed"; "error" => %error);
@@ -400,10 +416,10 @@
 /// Returns a number above that of every earlier process of this host.
 ///
 /// The random part tells apart processes that start within the same millisecond.
-fn incarnation() -> Incarnation {
+fn incarnation(wall_ms: u64) -> Incarnation {
     const RANDOM_BITS: u32 = 20;
     let random = u64::from(random::<u32>() >> (u32::BITS - RANDOM_BITS));
-    Incarnation((wall_ms() << RANDOM_BITS) | random)
+    Incarnation((wall_ms << RANDOM_BITS) | random)
 }
 
 /// Returns what happens after a snapshot came into force.
@@ -417,7 +433,7 @@
     let budget = budget.clone();
     Box::new(move |snapshot| {
         let others = u32::try_from(node.peers.load().len()).unwrap_or(u32::MAX);
-        for event in versions.adopt(&snapshot, others.saturating_add(1), wall_ms()) {
+        for event in versions.adopt(&snapshot, others.saturating_add(1), node.clock.wall_ms()) {
             node.recorder.record(event);
         }
         hosts.adopt(Arc::clone(&snapshot));
--- a/crates/daemon/src/process/node.rs
+++ b/crates/daemon/src/process/node.rs
@@ -117,7 +117,7 @@
 
     /// Returns the state in which the host sees itself.
     pub fn state(&self) -> State {
-        if self.gateway.is_stopping() {
+        if self.gateway.is_leaving() {
             State::Leaving
         } else if self.gateway.current().is_some() {
             State::Live
--- a/crates/daemon/src/process/planner.rs
+++ b/crates/daemon/src/process/planner.rs
@@ -3,7 +3,6 @@
 use crate::process::{
     configuration,
     node::{Node, Peer},
-    recorder::wall_ms,
     role,
     transport::{self, Transport},
     versions::Versions,
@@ -203,7 +202,10 @@
         let (Some((token, _)), Some(snapshot)) = (held, self.node.snapshot()) else {
             return;
         };
-        for change in self.machine.decide(now, wall_ms(), &snapshot) {
+        for change in self
+            .machine
+            .decide(now, self.node.clock.wall_ms(), &snapshot)
+        {
             let fence = Fence {
                 key: role::row(ROLE),
                 token,
--- a/crates/daemon/src/process/recorder.rs
+++ b/crates/daemon/src/process/recorder.rs
@@ -1,13 +1,11 @@
 //! Recorder of the host's events.
 
+use crate::request::clock::Clock;
 use azurenotch_core::process::timeline::Timeline;
 use azurenotch_wire::{event::Kind, id::Host, operator::Events, time::Stamp};
 use parking_lot::Mutex;
 use slog::{Logger, info};
-use std::{
-    num::NonZeroUsize,
-    time::{SystemTime, UNIX_EPOCH},
-};
+use std::{num::NonZeroUsize, sync::Arc};
 
 /// Events that a host keeps.
 pub const EVENTS: NonZeroUsize = NonZeroUsize::new(8192).expect("the capacity is positive");
@@ -16,14 +14,16 @@
 #[derive(Debug)]
 pub struct Recorder {
     timeline: Mutex<Timeline>,
+    clock: Arc<dyn Clock>,
     log: Logger,
 }
 
 impl Recorder {
     /// Creates an empty recorder.
-    pub fn new(host: Host, log: Logger) -> Self {
+    pub fn new(host: Host, clock: Arc<dyn Clock>, log: Logger) -> Self {
         Self {
             timeline: Mutex::new(Timeline::new(host, EVENTS)),
+            clock,
             log,
         }
     }
@@ -31,17 +31,17 @@
     /// Records what happened.
     pub fn record(&self, kind: Kind) {
         info!(self.log, "event: {}", kind);
-        self.timeline.lock().record(kind, wall_ms());
+        self.timeline.lock().record(kind, self.clock.wall_ms());
     }
 
     /// Returns the stamp of a message that is sent now.
     pub fn stamp(&self) -> Stamp {
-        self.timeline.lock().tick(wall_ms())
+        self.timeline.lock().tick(self.clock.wall_ms())
     }
 
     /// Takes note of the stamp of a message that arrived.
     pub fn merge(&self, stamp: Stamp) {
-        self.timeline.lock().merge(stamp, wall_ms());
+        self.timeline.lock().merge(stamp, self.clock.wall_ms());
     }
 
     /// Returns the events after a sequence number.
@@ -49,11 +49,3 @@
         self.timeline.lock().after(sequence)
     }
 }
-
-/// Returns the milliseconds since the Unix epoch.
-pub fn wall_ms() -> u64 {
-    let elapsed = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
-    u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/daemon/src/request/gateway.rs
+++ b/crates/daemon/src/request/gateway.rs
@@ -60,6 +60,7 @@
     counter: AtomicU64,
     current: ArcSwapOption<Current>,
     adoption: Mutex<()>,
+    leaving: AtomicBool,
     stopping: AtomicBool,
     transfers: Transfers,
     log: Logger,
@@ -107,6 +108,7 @@
             counter: AtomicU64::new(0),
             current: ArcSwapOption::empty(),
             adoption: Mutex::default(),
+            leaving: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
             transfers: Transfers::default(),
             log: Logger::root(Discard, o!()),
@@ -195,6 +197,16 @@
         &self.admission
     }
 
+    /// Announces a planned stop; callers keep their connections until [`Self::set_stopping`].
+    pub fn set_leaving(&self) {
+        self.leaving.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether a planned stop was announced.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed)
+    }
+
     /// Makes all answers from now on ask their callers to close the connection.
     pub fn set_stopping(&self) {
         self.stopping.store(true, Ordering::Relaxed);
--- a/crates/daemon/tests/fleet/mod.rs
+++ b/crates/daemon/tests/fleet/mod.rs
@@ -4,18 +4,21 @@
 
 use async_trait::async_trait;
 use azurenotch_config::{change::Change, document::Route, setting::Setting};
-use azurenotch_daemon::process::{
-    daemon::{Daemon, Parts},
-    peer_api::PeerApi,
-    serve::Handler,
-    transport::{Error, Result, Transport},
+use azurenotch_daemon::{
+    process::{
+        daemon::{Daemon, Parts},
+        peer_api::PeerApi,
+        serve::Handler,
+        transport::{Error, Result, Transport},
+    },
+    request::clock::Clock,
 };
 use azurenotch_platform::roster::Entry;
 use azurenotch_test_support::{
     fault::{Endpoint, Fault},
     memory::Platform,
 };
-use azurenotch_wire::{id::Workspace, version::Version};
+use azurenotch_wire::{id::Workspace, time::Instant, version::Version};
 use bytes::Bytes;
 use http::Request;
 use parking_lot::Mutex;
@@ -44,6 +47,22 @@
     pub network: Arc<Network>,
     pub daemons: BTreeMap<String, Daemon>,
     listed: BTreeMap<String, Entry>,
+    clock: Arc<Virtual>,
+}
+
+/// Clock of all hosts, whose wall time follows paused time as well.
+#[derive(Debug)]
+struct Virtual(time::Instant);
+
+impl Clock for Virtual {
+    fn now(&self) -> Instant {
+        Instant::from_millis(u64::try_from(self.0.elapsed().as_millis()).unwrap_or(u64::MAX))
+    }
+
+    fn wall_ms(&self) -> u64 {
+        // Any moment after the epoch.
+        1_700_000_000_000 + u64::try_from(self.0.elapsed().as_millis()).unwrap_or_default()
+    }
 }
 
 impl Fleet {
@@ -54,6 +73,7 @@
             network: Arc::default(),
             daemons: BTreeMap::new(),
             listed: BTreeMap::new(),
+            clock: Arc::new(Virtual(time::Instant::now())),
         };
         for number in 1..=hosts {
             fleet.add(&format!("h{number}"), &[]).await;
@@ -63,11 +83,16 @@
 
     /// Starts hosts and applies the document.
     pub async fn configured(hosts: usize) -> Self {
+        Self::with_document(hosts, DOCUMENT).await
+    }
+
+    /// Starts hosts and applies a document.
+    pub async fn with_document(hosts: usize, text: &str) -> Self {
         let fleet = Self::start(hosts).await;
         let expect = Version::default();
         let version = fleet.daemons["h1"]
             .change(Change::Apply {
-                text: DOCUMENT.to_owned(),
+                text: text.to_owned(),
                 expect,
             })
             .await
@@ -110,7 +135,8 @@
             Arc::clone(&platform) as _,
             platform,
         )
-        .transport(Arc::new(link));
+        .transport(Arc::new(link))
+        .clock(Arc::clone(&self.clock) as _);
         let log = Logger::root(Discard, o!());
         let daemon = Daemon::start(setting, parts, log)
             .await
