fix(daemon): name a host in look-ups once it has its share

Cause: other hosts named a host that started as soon as it was on the platform's list, 1 s after the start, while its share of the budget needs the affected hosts to confirm their decreases first; its callers were refused for the rate for 2 to 3.5 s. Change: a host reports 'starting' until the first grant with capacity, the third grant without any, or 10 s; look-ups name only hosts whose heartbeat says 'live'.

--- a/crates/core/src/process/bucket.rs
+++ b/crates/core/src/process/bucket.rs
@@ -32,9 +32,19 @@
     ///
     /// Returns the time until a token is there, or `None` if the rate is zero.
     pub fn take(&mut self, now: Instant) -> Result<(), Option<Duration>> {
+        self.check(now)?;
+        self.tokens -= 1.0;
+        Ok(())
+    }
+
+    /// Returns whether there is a token, without taking it.
+    ///
+    /// # Errors
+    ///
+    /// As for [`take`](Self::take).
+    pub fn check(&mut self, now: Instant) -> Result<(), Option<Duration>> {
         self.refill(now);
         if self.tokens >= 1.0 {
-            self.tokens -= 1.0;
             return Ok(());
         }
         // A bucket that holds less than one token never admits, whatever its rate.
--- a/crates/daemon/src/process/budget.rs
+++ b/crates/daemon/src/process/budget.rs
@@ -28,6 +28,11 @@
 const INTERVAL: Duration = Duration::from_secs(1);
 /// Longest time for the answer to a report.
 const TIMEOUT: Duration = Duration::from_millis(900);
+/// Grants after which a host serves without a share: no workspace is active then.
+const GRANTS_IDLE: u32 = 3;
+/// Longest time that a host with a configuration waits for its share, for example because the
+/// platform is down. Open routes and look-ups need none.
+const SHARE_WAIT: Duration = Duration::from_secs(10);
 /// Change of a share, relative to itself, that is worth an event.
 const EVENT_CHANGE: f64 = 0.2;
 
@@ -78,6 +83,10 @@
     stopping: bool,
     /// Answer that a planned stop waits for.
     departure: Option<RpcReplyPort<()>>,
+    /// Grants accepted so far.
+    grants: u32,
+    /// When the first configuration came into force.
+    configured: Option<Instant>,
     shown: BTreeMap<String, f64>,
 }
 
@@ -105,6 +114,8 @@
             busy: false,
             stopping: false,
             departure: None,
+            grants: 0,
+            configured: None,
             shown: BTreeMap::new(),
         })
     }
@@ -141,6 +152,13 @@
 impl State {
     fn round(&mut self, myself: &ActorRef<Message>) {
         self.lead(myself);
+        let now = self.node.clock.now();
+        if self
+            .configured
+            .is_some_and(|since| now.since(since) >= SHARE_WAIT)
+        {
+            self.node.set_serving();
+        }
         if !self.stopping {
             self.report(myself, false);
         }
@@ -172,6 +190,7 @@
         }
         self.fleet.set_seat(now, self.seat.clone(), &snapshot);
         self.snapshot = Some(snapshot);
+        self.configured.get_or_insert(now);
     }
 
     fn on_role(&mut self, myself: &ActorRef<Message>, change: role::Change) {
@@ -367,6 +386,10 @@
             && !self.stopping
         {
             self.fleet.grant(now, grant, until);
+            self.grants = self.grants.saturating_add(1);
+            if !grant.capacity.is_empty() || self.grants >= GRANTS_IDLE {
+                self.node.set_serving();
+            }
         }
     }
 
--- a/crates/daemon/src/process/daemon.rs
+++ b/crates/daemon/src/process/daemon.rs
@@ -33,7 +33,13 @@
 use rand::random;
 use slog::{Logger, info, o, warn};
 use snafu::{ResultExt, Snafu};
-use std::{collections::BTreeMap, io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::BTreeMap,
+    io,
+    net::SocketAddr,
+    sync::{Arc, atomic::AtomicBool},
+    time::Duration,
+};
 use tokio::{net::TcpListener, sync::mpsc::UnboundedReceiver, task::JoinHandle, time};
 use tokio_util::sync::CancellationToken;
 
@@ -165,10 +171,12 @@
         let incarnation = incarnation(parts.clock.wall_ms());
         let own = &setting.host;
         let peers = Arc::new(ArcSwap::default());
+        let serving = Arc::new(AtomicBool::new(false));
         let hosts = Arc::new(Hosts::new(
             own.name.clone(),
             own.data_centre.clone(),
             Arc::clone(&peers),
+            Arc::clone(&serving),
         ));
         let fleet = Arc::new(Fleet::new(Arc::clone(&parts.clock)));
         let evidence = Arc::new(Evidence::new(own.name.clone()));
@@ -215,6 +223,7 @@
             gateway,
             evidence,
             peers,
+            serving,
             encoded: ArcSwapOption::empty(),
             roles: Mutex::new(BTreeMap::new()),
             log: log.clone(),
--- a/crates/daemon/src/process/directory.rs
+++ b/crates/daemon/src/process/directory.rs
@@ -35,18 +35,26 @@
     address: OnceLock<SocketAddr>,
     snapshot: ArcSwapOption<Snapshot>,
     peers: Arc<ArcSwap<Vec<Peer>>>,
+    /// Whether this host has a configuration and its share of the budget.
+    serving: Arc<AtomicBool>,
     leaving: AtomicBool,
 }
 
 impl Hosts {
     /// Creates a directory that knows only its own host.
-    pub fn new(host: Host, data_centre: DataCentre, peers: Arc<ArcSwap<Vec<Peer>>>) -> Self {
+    pub fn new(
+        host: Host,
+        data_centre: DataCentre,
+        peers: Arc<ArcSwap<Vec<Peer>>>,
+        serving: Arc<AtomicBool>,
+    ) -> Self {
         Self {
             host,
             data_centre,
             address: OnceLock::new(),
             snapshot: ArcSwapOption::empty(),
             peers,
+            serving,
             leaving: AtomicBool::new(false),
         }
     }
@@ -93,9 +101,11 @@
         let peers = self.peers.load();
         let mut sites = peers
             .iter()
-            .filter(|peer| peer.state == Reachability::Live)
+            .filter(|peer| peer.state == Reachability::Live && peer.serving)
             .map(|peer| (rank(&peer.data_centre), site(peer)))
             .collect::<Vec<_>>();
+        // While a fleet starts, a host without a share is better than none.
+        let own = own.filter(|_| self.serving.load(Ordering::Relaxed) || sites.is_empty());
         sites.extend(own.map(|own| (rank(&self.data_centre), own)));
         sites.sort_by_cached_key(|(rank, site)| (*rank, spread(client, &site.host)));
         sites.into_iter().map(|(_, site)| site).collect()
--- a/crates/daemon/src/process/node.rs
+++ b/crates/daemon/src/process/node.rs
@@ -15,7 +15,14 @@
 };
 use parking_lot::Mutex;
 use slog::Logger;
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+};
 
 /// Identity of the host and what its control actors share.
 #[derive(Debug)]
@@ -42,6 +49,8 @@
     pub evidence: Arc<Evidence>,
     /// Other hosts as last judged.
     pub peers: Arc<ArcSwap<Vec<Peer>>>,
+    /// Whether the host has its share of the budget, so that look-ups may name it.
+    pub serving: Arc<AtomicBool>,
     /// Snapshot in force in its encoded form, for peers.
     pub encoded: ArcSwapOption<Encoded>,
     /// Roles that this host holds, with their fencing tokens.
@@ -63,6 +72,8 @@
     pub peer: SocketAddr,
     /// Address of its operators' interface.
     pub operator: SocketAddr,
+    /// Whether it has a configuration and its share of the budget.
+    pub serving: bool,
     /// Whether it answers.
     pub state: Reachability,
     /// Configuration version that it last reported.
@@ -119,13 +130,18 @@
     pub fn state(&self) -> State {
         if self.gateway.is_leaving() {
             State::Leaving
-        } else if self.gateway.current().is_some() {
+        } else if self.gateway.current().is_some() && self.serving.load(Ordering::Relaxed) {
             State::Live
         } else {
             State::Starting
         }
     }
 
+    /// Takes part in look-ups from now on.
+    pub fn set_serving(&self) {
+        self.serving.store(true, Ordering::Relaxed);
+    }
+
     /// Returns the heartbeat of this moment.
     pub fn heartbeat(&self) -> Heartbeat {
         let contact = self.evidence.contact_age(self.clock.now());
--- a/crates/daemon/src/process/operator_api.rs
+++ b/crates/daemon/src/process/operator_api.rs
@@ -63,6 +63,10 @@
     fn ready(&self) -> Response<Bytes> {
         match self.node.state() {
             State::Live => text(StatusCode::OK, "ready\n"),
+            // The host answers with its configuration while it waits for its share.
+            State::Starting if self.node.gateway.current().is_some() => {
+                text(StatusCode::OK, "ready\n")
+            }
             state => text(StatusCode::SERVICE_UNAVAILABLE, &format!("{state}\n")),
         }
     }
--- a/crates/daemon/src/process/peers.rs
+++ b/crates/daemon/src/process/peers.rs
@@ -11,7 +11,7 @@
     Map,
     event::{Kind, Reachability},
     id::Host,
-    peer::Heartbeat,
+    peer::{Heartbeat, State as HostState},
     time::Instant,
 };
 use ractor::{Actor, ActorProcessingErr, ActorRef};
@@ -185,6 +185,7 @@
         let known = self.heard.get(&heartbeat.host);
         self.changed |= known.is_none_or(|known| {
             known.version != heartbeat.version
+                || known.state != heartbeat.state
                 || known.roles != heartbeat.roles
                 || known.peer != heartbeat.peer
         });
@@ -271,6 +272,7 @@
                     address: member.address,
                     peer,
                     operator,
+                    serving: heard.is_some_and(|heard| heard.state == HostState::Live),
                     state: member.state,
                     version: heard.map(|heard| heard.version).unwrap_or_default(),
                     load: heard.map_or(0.0, |heard| heard.load),
--- a/crates/daemon/src/request/gateway.rs
+++ b/crates/daemon/src/request/gateway.rs
@@ -66,7 +66,8 @@
     log: Logger,
     pub(crate) clock: Arc<dyn Clock>,
     pub(crate) admission: Arc<dyn Admission>,
-    pub(crate) directory: Arc<dyn Directory>,
+    /// Directory of hosts.
+    pub directory: Arc<dyn Directory>,
     pub(crate) freshness: Arc<dyn Freshness>,
     pub(crate) shift: Arc<dyn Shift>,
     pub(crate) metrics: Metrics,
--- a/crates/daemon/tests/fleet/mod.rs
+++ b/crates/daemon/tests/fleet/mod.rs
@@ -212,6 +212,16 @@
             .is_ok()
     }
 
+    /// Returns whether look-ups at a host name this address.
+    pub fn names(&self, name: &str, address: SocketAddr) -> bool {
+        let directory = &self.daemons[name].node().gateway.directory;
+        let answer = directory.look_up(address.ip());
+        answer
+            .hosts
+            .iter()
+            .any(|site| site.address == address.to_string())
+    }
+
     fn publish(&self) {
         self.platform
             .set_roster(self.listed.values().cloned().collect());
--- a/crates/daemon/tests/stops.rs
+++ b/crates/daemon/tests/stops.rs
@@ -13,6 +13,9 @@
 /// Part of the contract that belongs to slots that no host has claimed: 5 of 8 in the floor part.
 const UNCLAIMED: f64 = 0.25 * 5.0 / 8.0;
 
+/// Time in which a host that starts has its share.
+const FEW_SECONDS: Duration = Duration::from_secs(6);
+
 /// Sends 40 requests a second to each host and returns how many were admitted.
 async fn load(fleet: &Fleet, seconds: u64) -> f64 {
     let mut admitted = 0;
@@ -67,3 +70,23 @@
         .expect("the stop succeeds");
     assert!(node.gateway.is_stopping());
 }
+
+/// Guards against look-ups that send callers to a host that still refuses them for the rate.
+#[tokio::test(start_paused = true)]
+async fn a_new_host_is_named_once_it_admits_requests() {
+    let mut fleet = Fleet::configured(3).await;
+    load(&fleet, 10).await;
+    fleet.add("h4", &[]).await;
+    let new = fleet.daemons["h4"].addresses().0;
+    let end = time::Instant::now() + FEW_SECONDS;
+    while !fleet.names("h1", new) {
+        assert!(time::Instant::now() < end, "h4 is not named");
+        // The new host gets no requests before it is named.
+        for name in ["h1", "h2", "h3"] {
+            fleet.admits(name);
+        }
+        time::sleep(STEP).await;
+    }
+    time::sleep(STEP).await;
+    assert!(fleet.admits("h4"), "the first caller is refused");
+}
