fix(core): let hosts keep recorded shares over a takeover of the budget role

Cause: a new holder divided among the hosts that had reported before its first round and granted zero to all that reported later, so each takeover took their shares away for 1 to 2 s. Change: a host that no division includes yet is granted what the table records for it, as in holdover; such shares count as in use already, so the sum stays within the contract.

--- a/crates/core/src/process/budget/answer.rs
+++ b/crates/core/src/process/budget/answer.rs
@@ -191,9 +191,12 @@
         if let Some(pending) = &self.pending {
             share = share.min(pending.allocation.share(slot, workspace));
         }
-        if self.leads(now) {
-            let wanted = self.divisions.get(workspace);
-            return share.min(wanted.map_or(Capacity::ZERO, |division| division.share(slot)));
+        // A host that reports to a new holder for the first time is not part of a division yet. It
+        // keeps what is recorded; without it, every takeover would take the hosts' shares away.
+        let division = self.divisions.get(workspace);
+        let wanted = division.and_then(|division| division.shares.get(&slot));
+        if let Some(wanted) = wanted.filter(|_| self.leads(now)) {
+            return share.min(*wanted);
         }
         if self.frozen.is_none() {
             self.frozen = Some(self.factors());
@@ -225,3 +228,57 @@
             .collect()
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::process::budget::{Allocation, Supply, Timing, allocation::Entry};
+    use azurenotch_wire::id::Incarnation;
+
+    /// Guards against a takeover that takes the shares away from hosts that report after the first
+    /// division.
+    #[test]
+    fn a_new_holder_grants_what_is_recorded() {
+        let share = Capacity {
+            rate: 40.0,
+            burst: 40.0,
+            concurrency: 4.0,
+        };
+        let workspace = Workspace::from("w");
+        let entry = |slot: u64| Entry {
+            incarnation: Incarnation(slot),
+            region: "r".into(),
+            capacity: BTreeMap::from([(workspace.clone(), share)]),
+        };
+        let recorded = Allocation {
+            token: 1,
+            number: 1,
+            slots: BTreeMap::from([(0, entry(0)), (1, entry(1))]),
+        };
+        let mut ledger = Ledger::new(2, Timing::default(), Instant::ZERO, recorded);
+        let total = Supply::granted(share.plus(share));
+        ledger.supply(Instant::ZERO, BTreeMap::from([(workspace.clone(), total)]));
+        for slot in [0, 1] {
+            let usage = Usage {
+                demand: 30.0,
+                running: 1.0,
+                held: share,
+                returned: 0.0,
+            };
+            let report = Report {
+                host: "h".into(),
+                incarnation: Incarnation(u64::from(slot)),
+                slot,
+                region: "r".into(),
+                token: 2,
+                leaving: false,
+                sequence: 1,
+                usage: Map::from_iter([(workspace.clone(), usage)]),
+            };
+            let grant = ledger.report(Instant::ZERO, &report).expect("answered");
+            assert_eq!(grant.capacity.get(&workspace), Some(&share), "slot {slot}");
+            // The first division knows slot 0 only.
+            ledger.tick(Instant::ZERO);
+        }
+    }
+}
