--- /dev/null
+++ b/crates/daemon/src/process/actors.rs
@@ -0,0 +1,166 @@
+//! Start and stop of the control actors.
+
+use crate::process::{
+    budget, configuration,
+    daemon::{Decisions, Result, SpawnSnafu},
+    directory::Hosts,
+    node::Node,
+    peers, planner, role, slot,
+    versions::Versions,
+};
+use azurenotch_wire::evidence::Report;
+use ractor::{Actor, ActorRef};
+use rand::random;
+use snafu::ResultExt;
+use std::{sync::Arc, time::Duration};
+use tokio::sync::mpsc::UnboundedReceiver;
+
+/// Longest time for each step of giving up shares, slot and roles.
+const RELEASE_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Control actors.
+#[derive(Debug)]
+pub(super) struct Actors {
+    pub(super) configuration: ActorRef<configuration::Message>,
+    pub(super) peers: ActorRef<peers::Message>,
+    pub(super) budget: ActorRef<budget::Message>,
+    pub(super) planner: ActorRef<planner::Message>,
+    pub(super) slot: ActorRef<slot::Message>,
+    roles: Vec<ActorRef<role::Message>>,
+}
+
+impl Actors {
+    /// Starts the actors; the ones that others report to come first.
+    pub(super) async fn spawn(
+        node: &Arc<Node>,
+        decisions: &Decisions,
+        faults: UnboundedReceiver<Report>,
+    ) -> Result<Self> {
+        let Decisions {
+            fleet,
+            hosts,
+            versions,
+            ..
+        } = decisions;
+        let (budget, _) = Actor::spawn(None, budget::Budget, (Arc::clone(node), Arc::clone(fleet)))
+            .await
+            .context(SpawnSnafu { name: "budget" })?;
+        let (slot, _) = Actor::spawn(None, slot::Slot, (Arc::clone(node), budget.clone()))
+            .await
+            .context(SpawnSnafu { name: "slot" })?;
+        let arguments = configuration::Arguments {
+            node: Arc::clone(node),
+            listener: adopted(node, hosts, versions, &budget),
+        };
+        let (configuration, _) = Actor::spawn(None, configuration::Configuration, arguments)
+            .await
+            .context(SpawnSnafu {
+                name: "configuration",
+            })?;
+        let arguments = peers::Arguments {
+            node: Arc::clone(node),
+            hosts: Arc::clone(hosts),
+            configuration: configuration.clone(),
+        };
+        let (peers, _) = Actor::spawn(None, peers::Peers, arguments)
+            .await
+            .context(SpawnSnafu { name: "peers" })?;
+        let arguments = planner::Arguments {
+            node: Arc::clone(node),
+            versions: Arc::clone(versions),
+            faults,
+            configuration: configuration.clone(),
+        };
+        let (planner, _) = Actor::spawn(None, planner::Planner, arguments)
+            .await
+            .context(SpawnSnafu { name: "planner" })?;
+        let roles = vec![
+            spawn_role(node, budget::ROLE, listener(&budget, budget::Message::Role)).await?,
+            spawn_role(
+                node,
+                planner::ROLE,
+                listener(&planner, planner::Message::Role),
+            )
+            .await?,
+        ];
+        Ok(Self {
+            configuration,
+            peers,
+            budget,
+            planner,
+            slot,
+            roles,
+        })
+    }
+
+    /// Gives up shares, slot and roles; what the platform does not confirm lapses by itself.
+    pub(super) async fn release(&self) {
+        let timeout = Some(RELEASE_TIMEOUT);
+        let _ = self.budget.call(budget::Message::Stop, timeout).await;
+        let _ = self.slot.call(slot::Message::Release, timeout).await;
+        for role in &self.roles {
+            let _ = role.call(role::Message::Release, timeout).await;
+        }
+    }
+
+    /// Stops the actors at once.
+    pub(super) fn stop(&self) {
+        self.configuration.stop(None);
+        self.peers.stop(None);
+        self.budget.stop(None);
+        self.planner.stop(None);
+        self.slot.stop(None);
+        for role in &self.roles {
+            role.stop(None);
+        }
+    }
+}
+
+/// Returns what happens after a snapshot came into force.
+fn adopted(
+    node: &Arc<Node>,
+    hosts: &Arc<Hosts>,
+    versions: &Arc<Versions>,
+    budget: &ActorRef<budget::Message>,
+) -> configuration::Listener {
+    let (node, hosts, versions) = (Arc::clone(node), Arc::clone(hosts), Arc::clone(versions));
+    let budget = budget.clone();
+    Box::new(move |snapshot| {
+        let others = u32::try_from(node.peers.load().len()).unwrap_or(u32::MAX);
+        for event in versions.adopt(&snapshot, others.saturating_add(1), node.clock.wall_ms()) {
+            node.recorder.record(event);
+        }
+        hosts.adopt(&snapshot, &node.peers.load());
+        // The actor is gone only when the process stops.
+        let _ = budget.send_message(budget::Message::Adopted(snapshot));
+    })
+}
+
+/// Passes what happens to a role on to the actor that works under it.
+fn listener<M: ractor::Message>(
+    actor: &ActorRef<M>,
+    message: fn(role::Change) -> M,
+) -> role::Listener {
+    let actor = actor.clone();
+    Box::new(move |change| {
+        // The actor is gone only when the process stops.
+        let _ = actor.send_message(message(change));
+    })
+}
+
+async fn spawn_role(
+    node: &Arc<Node>,
+    role: &str,
+    listener: role::Listener,
+) -> Result<ActorRef<role::Message>> {
+    let arguments = role::Arguments {
+        node: Arc::clone(node),
+        role: role.to_owned(),
+        listener,
+        seed: random(),
+    };
+    let (actor, _) = Actor::spawn(None, role::Role, arguments)
+        .await
+        .context(SpawnSnafu { name: "role" })?;
+    Ok(actor)
+}
--- a/crates/daemon/src/process/budget.rs
+++ b/crates/daemon/src/process/budget.rs
@@ -1,5 +1,7 @@
 //! Actor that reports demand, applies grants and, while it holds the role, divides the budgets.
 
+mod stop;
+
 use crate::process::{
     admission::{Fleet, Seat},
     node::Node,
@@ -26,6 +28,11 @@
 const INTERVAL: Duration = Duration::from_secs(1);
 /// Longest time for the answer to a report.
 const TIMEOUT: Duration = Duration::from_millis(900);
+/// Grants after which a host serves without a share: no workspace is active then.
+const GRANTS_IDLE: u32 = 3;
+/// Longest time that a host with a configuration waits for its share, for example because the
+/// platform is down. Open routes and look-ups need none.
+const SHARE_WAIT: Duration = Duration::from_secs(10);
 /// Change of a share, relative to itself, that is worth an event.
 const EVENT_CHANGE: f64 = 0.2;
 
@@ -74,6 +81,12 @@
     version: u64,
     busy: bool,
     stopping: bool,
+    /// Answer that a planned stop waits for.
+    departure: Option<RpcReplyPort<()>>,
+    /// Grants accepted so far.
+    grants: u32,
+    /// When the first configuration came into force.
+    configured: Option<Instant>,
     shown: BTreeMap<String, f64>,
 }
 
@@ -100,6 +113,9 @@
             version: 0,
             busy: false,
             stopping: false,
+            departure: None,
+            grants: 0,
+            configured: None,
             shown: BTreeMap::new(),
         })
     }
@@ -126,8 +142,9 @@
                 let _ = reply.send(answer);
             }
             Message::Granted(grant) => state.on_granted(&grant),
-            Message::Stop(reply) => state.stop(reply),
+            Message::Stop(reply) => state.stop(&myself, reply),
         }
+        state.depart();
         Ok(())
     }
 }
@@ -135,6 +152,13 @@
 impl State {
     fn round(&mut self, myself: &ActorRef<Message>) {
         self.lead(myself);
+        let now = self.node.clock.now();
+        if self
+            .configured
+            .is_some_and(|since| now.since(since) >= SHARE_WAIT)
+        {
+            self.node.set_serving();
+        }
         if !self.stopping && self.seat.is_some() {
             self.report(myself, false);
         }
@@ -181,6 +205,7 @@
         }
         self.fleet.set_seat(now, self.seat.clone(), &snapshot);
         self.snapshot = Some(snapshot);
+        self.configured.get_or_insert(now);
     }
 
     fn on_role(&mut self, myself: &ActorRef<Message>, change: role::Change) {
@@ -376,42 +401,11 @@
             && !self.stopping
         {
             self.fleet.grant(now, grant, until);
-        }
-    }
-
-    /// Gives the elastic shares back; the answer does not wait for the holder's.
-    fn stop(&mut self, reply: RpcReplyPort<()>) {
-        self.stopping = true;
-        let now = self.node.clock.now();
-        self.fleet.stop(now);
-        let Some(reporter) = &mut self.reporter else {
-            let _ = reply.send(());
-            return;
-        };
-        let token = reporter.token();
-        let report = reporter.report(now, token, true, || self.fleet.usage(now));
-        let own = self.ledger.as_ref().map(Ledger::token);
-        if own == Some(token) {
-            // The answer to a leaving host grants nothing.
-            let _ = self.on_report(&report);
-            let _ = reply.send(());
-            return;
-        }
-        let peers = self.node.peers.load();
-        let holder = peers.iter().find(|peer| {
-            peer.roles
-                .iter()
-                .any(|role| role.name == ROLE && role.token == token)
-        });
-        let address = holder.map(|peer| peer.peer);
-        let transport = Arc::clone(&self.node.transport);
-        tokio::spawn(async move {
-            if let Some(address) = address {
-                // Without an answer the shares lapse after their validity.
-                let _ = send_report(&*transport, address, &report).await;
+            self.grants = self.grants.saturating_add(1);
+            if !grant.capacity.is_empty() || self.grants >= GRANTS_IDLE {
+                self.node.set_serving();
             }
-            let _ = reply.send(());
-        });
+        }
     }
 
     fn record_shares(&mut self) {
--- a/crates/daemon/src/process/daemon.rs
+++ b/crates/daemon/src/process/daemon.rs
@@ -3,18 +3,17 @@
 use crate::{
     connection::listener::{self, Listener},
     process::{
+        actors::Actors,
         admission::Fleet,
-        budget, change, configuration,
+        change, configuration,
         directory::Hosts,
         freshness::Evidence,
         node::Node,
         operator_api::OperatorApi,
         peer_api::PeerApi,
-        peers, planner,
-        recorder::{Recorder, wall_ms},
-        role,
-        serve::serve,
-        slot,
+        peers,
+        recorder::Recorder,
+        serve::{Handler, serve},
         transport::{Http, Transport},
         versions::Versions,
     },
@@ -29,16 +28,22 @@
 use azurenotch_wire::{event::Kind, evidence::Report, id::Incarnation, version::Version};
 use parking_lot::Mutex;
 use prometheus::Registry;
-use ractor::{Actor, ActorRef};
 use rand::random;
 use slog::{Logger, info, o, warn};
 use snafu::{ResultExt, Snafu};
-use std::{collections::BTreeMap, io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::BTreeMap,
+    io,
+    net::SocketAddr,
+    sync::{Arc, atomic::AtomicBool},
+    time::Duration,
+};
 use tokio::{net::TcpListener, sync::mpsc::UnboundedReceiver, task::JoinHandle, time};
 use tokio_util::sync::CancellationToken;
 
-/// Longest time for each step of giving up shares, slot and roles.
-const RELEASE_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time within which other hosts stop naming a host that announced its stop: the interval of
+/// heartbeats, because the announcement itself may be lost.
+const ANNOUNCED: Duration = Duration::from_secs(1);
 
 /// Longest time for a change to be accepted.
 const CHANGE_TIMEOUT: Duration = Duration::from_secs(15);
@@ -48,6 +53,7 @@
 
 /// Why a daemon cannot start.
 #[derive(Debug, Snafu)]
+#[snafu(visibility(pub(super)))]
 pub enum Error {
     /// The port for callers cannot be served.
     #[snafu(display("port for callers: {source}"))]
@@ -128,6 +134,7 @@
 pub struct Daemon {
     node: Arc<Node>,
     hosts: Arc<Hosts>,
+    versions: Arc<Versions>,
     actors: Actors,
     peer_api: Arc<PeerApi>,
     callers: JoinHandle<()>,
@@ -137,17 +144,6 @@
     stop: CancellationToken,
 }
 
-/// Control actors.
-#[derive(Debug)]
-struct Actors {
-    configuration: ActorRef<configuration::Message>,
-    peers: ActorRef<peers::Message>,
-    budget: ActorRef<budget::Message>,
-    planner: ActorRef<planner::Message>,
-    slot: ActorRef<slot::Message>,
-    roles: Vec<ActorRef<role::Message>>,
-}
-
 impl Daemon {
     /// Starts a daemon; it serves callers as soon as it holds a configuration.
     ///
@@ -157,31 +153,11 @@
     pub async fn start(mut setting: Setting, parts: Parts, log: Logger) -> Result<Self> {
         let log = log.new(o!("host" => setting.host.name.to_string()));
         let registry = Registry::new();
-        let incarnation = incarnation();
+        let incarnation = incarnation(parts.clock.wall_ms());
+        let (decisions, faults) = Decisions::new(&setting, &parts.clock);
+        let gateway =
+            decisions.gateway(&setting, incarnation, &parts.clock, &registry, log.clone())?;
         let own = &setting.host;
-        let peers = Arc::new(ArcSwap::default());
-        let hosts = Arc::new(Hosts::new(own.name.clone(), own.data_centre.clone()));
-        let fleet = Arc::new(Fleet::new(Arc::clone(&parts.clock)));
-        let evidence = Arc::new(Evidence::new(own.name.clone()));
-        let (versions, faults) = Versions::new(own.name.clone(), Arc::clone(&parts.clock));
-        let versions = Arc::new(versions);
-        let clock = Arc::clone(&parts.clock);
-        let gateway = Gateway::new(
-            &own.name,
-            incarnation,
-            own.data_centre.clone(),
-            clock,
-            &registry,
-        )
-        .context(MetricsSnafu)?
-        .with_admission(Arc::clone(&fleet) as _)
-        .with_directory(Arc::clone(&hosts) as _)
-        .with_freshness(Arc::clone(&evidence) as _)
-        .with_shift(Arc::clone(&versions) as _)
-        .with_caller_stall(setting.limits.body_idle_timeout)
-        .with_waiting(setting.limits.queue as usize)
-        .with_log(log.clone());
-        let gateway = Arc::new(gateway);
         let callers = Listener::bind(own.listen, Arc::clone(&gateway), log.clone())
             .await
             .context(CallersSnafu)?
@@ -195,9 +171,13 @@
         setting.host.listen = callers.address();
         setting.host.peer = local(&peer_port, setting.host.peer)?;
         setting.host.operator = local(&operator_port, setting.host.operator)?;
-        hosts.set_address(setting.host.listen);
+        decisions.hosts.set_address(setting.host.listen);
         let node = Arc::new(Node {
-            recorder: Arc::new(Recorder::new(setting.host.name.clone(), log.clone())),
+            recorder: Arc::new(Recorder::new(
+                setting.host.name.clone(),
+                Arc::clone(&parts.clock),
+                log.clone(),
+            )),
             setting,
             incarnation,
             clock: parts.clock,
@@ -206,14 +186,15 @@
             roster: parts.roster,
             transport: parts.transport,
             gateway,
-            evidence,
-            peers,
+            evidence: Arc::clone(&decisions.evidence),
+            peers: Arc::new(ArcSwap::default()),
+            serving: Arc::clone(&decisions.serving),
             encoded: ArcSwapOption::empty(),
             roles: Mutex::new(BTreeMap::new()),
             log: log.clone(),
         });
         node.recorder.record(Kind::Started { incarnation });
-        let actors = Actors::spawn(&node, &hosts, fleet, versions, faults).await?;
+        let actors = Actors::spawn(&node, &decisions, faults).await?;
         let stop = CancellationToken::new();
         let peer_api = Arc::new(PeerApi {
             node: Arc::clone(&node),
@@ -221,31 +202,27 @@
             budget: actors.budget.clone(),
             planner: actors.planner.clone(),
         });
-        tokio::spawn(serve(
-            peer_port,
-            Arc::clone(&peer_api) as _,
-            stop.clone(),
-            log.clone(),
-        ));
-        let operator_api = OperatorApi {
+        let operator_api = Arc::new(OperatorApi {
             node: Arc::clone(&node),
             registry,
             configuration: actors.configuration.clone(),
             peers: actors.peers.clone(),
-        };
-        tokio::spawn(serve(
-            operator_port,
-            Arc::new(operator_api),
-            stop.clone(),
-            log.clone(),
-        ));
+        });
+        let interfaces = [
+            (peer_port, Arc::clone(&peer_api) as Arc<dyn Handler>),
+            (operator_port, operator_api),
+        ];
+        for (port, handler) in interfaces {
+            tokio::spawn(serve(port, handler, stop.clone(), log.clone()));
+        }
         let stop_callers = CancellationToken::new();
         let callers = tokio::spawn(callers.run(stop_callers.clone()));
         info!(log, "daemon: serving"; "callers" => %node.setting.host.listen,
             "peers" => %node.setting.host.peer, "operators" => %node.setting.host.operator);
         Ok(Self {
             node,
-            hosts,
+            hosts: decisions.hosts,
+            versions: decisions.versions,
             actors,
             peer_api,
             callers,
@@ -284,6 +261,11 @@
         &self.node
     }
 
+    /// Returns the versions that requests use and the evidence about version moves.
+    pub fn versions(&self) -> &Arc<Versions> {
+        &self.versions
+    }
+
     /// Stops gracefully and cuts no running request.
     ///
     /// The host leaves all look-ups first and keeps serving until callers' cached look-ups are
@@ -292,14 +274,15 @@
         let log = &self.node.log;
         self.node.recorder.record(Kind::Stopping);
         self.hosts.leave(&self.node.peers.load());
-        self.node.gateway.set_stopping();
+        self.node.gateway.set_leaving();
         // Others stop naming this host when they see its state.
         let _ = self.actors.peers.send_message(peers::Message::Announce);
         let lifetime = self
             .node
             .snapshot()
             .map(|snapshot| snapshot.document.fleet.look_up_lifetime);
-        time::sleep(lifetime.unwrap_or_default()).await;
+        // Callers stay until no look-up that named this host is still valid.
+        time::sleep(lifetime.unwrap_or_default() + ANNOUNCED).await;
         self.stop_callers.cancel();
         if let Err(error) = self.callers.await {
             warn!(log, "daemon: port for callers failed"; "error" => %error);
@@ -319,143 +302,73 @@
     }
 }
 
-impl Actors {
-    async fn spawn(
-        node: &Arc<Node>,
-        hosts: &Arc<Hosts>,
-        fleet: Arc<Fleet>,
-        versions: Arc<Versions>,
-        faults: UnboundedReceiver<Report>,
-    ) -> Result<Self> {
-        let (budget, _) = Actor::spawn(None, budget::Budget, (Arc::clone(node), fleet))
-            .await
-            .context(SpawnSnafu { name: "budget" })?;
-        let (slot, _) = Actor::spawn(None, slot::Slot, (Arc::clone(node), budget.clone()))
-            .await
-            .context(SpawnSnafu { name: "slot" })?;
-        let arguments = configuration::Arguments {
-            node: Arc::clone(node),
-            listener: adopted(node, hosts, &versions, &budget),
-        };
-        let (configuration, _) = Actor::spawn(None, configuration::Configuration, arguments)
-            .await
-            .context(SpawnSnafu {
-                name: "configuration",
-            })?;
-        let arguments = peers::Arguments {
-            node: Arc::clone(node),
-            hosts: Arc::clone(hosts),
-            configuration: configuration.clone(),
-        };
-        let (peers, _) = Actor::spawn(None, peers::Peers, arguments)
-            .await
-            .context(SpawnSnafu { name: "peers" })?;
-        let arguments = planner::Arguments {
-            node: Arc::clone(node),
-            versions,
-            faults,
-            configuration: configuration.clone(),
-        };
-        let (planner, _) = Actor::spawn(None, planner::Planner, arguments)
-            .await
-            .context(SpawnSnafu { name: "planner" })?;
-        let roles = vec![
-            spawn_role(node, budget::ROLE, listener(&budget, budget::Message::Role)).await?,
-            spawn_role(
-                node,
-                planner::ROLE,
-                listener(&planner, planner::Message::Role),
-            )
-            .await?,
-        ];
-        Ok(Self {
-            configuration,
-            peers,
-            budget,
-            planner,
-            slot,
-            roles,
-        })
-    }
+/// What the data path asks for each request and the control actors keep up to date.
+#[derive(Debug)]
+pub(super) struct Decisions {
+    pub(super) fleet: Arc<Fleet>,
+    pub(super) hosts: Arc<Hosts>,
+    pub(super) versions: Arc<Versions>,
+    evidence: Arc<Evidence>,
+    /// Whether the host has a configuration and its share of the budget.
+    serving: Arc<AtomicBool>,
+}
 
-    /// Gives up shares, slot and roles; what the platform does not confirm lapses by itself.
-    async fn release(&self) {
-        let timeout = Some(RELEASE_TIMEOUT);
-        let _ = self.budget.call(budget::Message::Stop, timeout).await;
-        let _ = self.slot.call(slot::Message::Release, timeout).await;
-        for role in &self.roles {
-            let _ = role.call(role::Message::Release, timeout).await;
-        }
+impl Decisions {
+    fn new(setting: &Setting, clock: &Arc<dyn Clock>) -> (Self, UnboundedReceiver<Report>) {
+        let own = &setting.host;
+        let serving = Arc::new(AtomicBool::new(false));
+        let (versions, faults) = Versions::new(own.name.clone(), Arc::clone(clock));
+        let hosts = Hosts::new(
+            own.name.clone(),
+            own.data_centre.clone(),
+            Arc::clone(&serving),
+        );
+        let decisions = Self {
+            fleet: Arc::new(Fleet::new(Arc::clone(clock))),
+            hosts: Arc::new(hosts),
+            versions: Arc::new(versions),
+            evidence: Arc::new(Evidence::new(own.name.clone())),
+            serving,
+        };
+        (decisions, faults)
     }
 
-    fn stop(&self) {
-        self.configuration.stop(None);
-        self.peers.stop(None);
-        self.budget.stop(None);
-        self.planner.stop(None);
-        self.slot.stop(None);
-        for role in &self.roles {
-            role.stop(None);
-        }
+    fn gateway(
+        &self,
+        setting: &Setting,
+        incarnation: Incarnation,
+        clock: &Arc<dyn Clock>,
+        registry: &Registry,
+        log: Logger,
+    ) -> Result<Arc<Gateway>> {
+        let own = &setting.host;
+        let clock = Arc::clone(clock);
+        let gateway = Gateway::new(
+            &own.name,
+            incarnation,
+            own.data_centre.clone(),
+            clock,
+            registry,
+        )
+        .context(MetricsSnafu)?
+        .with_admission(Arc::clone(&self.fleet) as _)
+        .with_directory(Arc::clone(&self.hosts) as _)
+        .with_freshness(Arc::clone(&self.evidence) as _)
+        .with_shift(Arc::clone(&self.versions) as _)
+        .with_caller_stall(setting.limits.body_idle_timeout)
+        .with_waiting(setting.limits.queue as usize)
+        .with_log(log);
+        Ok(Arc::new(gateway))
     }
 }
 
 /// Returns a number above that of every earlier process of this host.
 ///
 /// The random part tells apart processes that start within the same millisecond.
-fn incarnation() -> Incarnation {
+fn incarnation(wall_ms: u64) -> Incarnation {
     const RANDOM_BITS: u32 = 20;
     let random = u64::from(random::<u32>() >> (u32::BITS - RANDOM_BITS));
-    Incarnation((wall_ms() << RANDOM_BITS) | random)
-}
-
-/// Returns what happens after a snapshot came into force.
-fn adopted(
-    node: &Arc<Node>,
-    hosts: &Arc<Hosts>,
-    versions: &Arc<Versions>,
-    budget: &ActorRef<budget::Message>,
-) -> configuration::Listener {
-    let (node, hosts, versions) = (Arc::clone(node), Arc::clone(hosts), Arc::clone(versions));
-    let budget = budget.clone();
-    Box::new(move |snapshot| {
-        let others = u32::try_from(node.peers.load().len()).unwrap_or(u32::MAX);
-        for event in versions.adopt(&snapshot, others.saturating_add(1), wall_ms()) {
-            node.recorder.record(event);
-        }
-        hosts.adopt(&snapshot, &node.peers.load());
-        // The actor is gone only when the process stops.
-        let _ = budget.send_message(budget::Message::Adopted(snapshot));
-    })
-}
-
-/// Passes what happens to a role on to the actor that works under it.
-fn listener<M: ractor::Message>(
-    actor: &ActorRef<M>,
-    message: fn(role::Change) -> M,
-) -> role::Listener {
-    let actor = actor.clone();
-    Box::new(move |change| {
-        // The actor is gone only when the process stops.
-        let _ = actor.send_message(message(change));
-    })
-}
-
-async fn spawn_role(
-    node: &Arc<Node>,
-    role: &str,
-    listener: role::Listener,
-) -> Result<ActorRef<role::Message>> {
-    let arguments = role::Arguments {
-        node: Arc::clone(node),
-        role: role.to_owned(),
-        listener,
-        seed: random(),
-    };
-    let (actor, _) = Actor::spawn(None, role::Role, arguments)
-        .await
-        .context(SpawnSnafu { name: "role" })?;
-    Ok(actor)
+    Incarnation((wall_ms << RANDOM_BITS) | random)
 }
 
 async fn bind(purpose: &'static str, address: SocketAddr) -> Result<TcpListener> {
--- a/crates/daemon/src/process/directory.rs
+++ b/crates/daemon/src/process/directory.rs
@@ -39,6 +39,8 @@
     table: ArcSwapOption<Table>,
     /// Hosts as last judged, this one included.
     fleet: ArcSwap<Fleet>,
+    /// Whether this host has a configuration and its share of the budget.
+    serving: Arc<AtomicBool>,
     leaving: AtomicBool,
 }
 
@@ -52,13 +54,14 @@
 
 impl Hosts {
     /// Creates a directory that knows only its own host.
-    pub fn new(host: Host, data_centre: DataCentre) -> Self {
+    pub fn new(host: Host, data_centre: DataCentre, serving: Arc<AtomicBool>) -> Self {
         Self {
             host,
             data_centre,
             address: OnceLock::new(),
             table: ArcSwapOption::empty(),
             fleet: ArcSwap::default(),
+            serving,
             leaving: AtomicBool::new(false),
         }
     }
@@ -95,8 +98,10 @@
         };
         let state = if self.leaving.load(Ordering::Relaxed) {
             State::Leaving
-        } else {
+        } else if self.serving.load(Ordering::Relaxed) {
             State::Live
+        } else {
+            State::Starting
         };
         let own = self.address.get().and_then(|address| {
             Some(Site {
--- a/crates/daemon/src/process/mod.rs
+++ b/crates/daemon/src/process/mod.rs
@@ -1,5 +1,6 @@
 //! What lives as long as the process: control actors, peers' and operators' interfaces.
 
+mod actors;
 pub mod admission;
 pub mod budget;
 pub mod change;
--- a/crates/daemon/src/process/peers.rs
+++ b/crates/daemon/src/process/peers.rs
@@ -191,6 +191,7 @@
         let known = self.heard.get(&heartbeat.host);
         self.changed |= known.is_none_or(|known| {
             known.version != heartbeat.version
+                || known.state != heartbeat.state
                 || known.roles != heartbeat.roles
                 || known.peer != heartbeat.peer
         });
