feat(daemon): run requests with an idempotency key at most once

Cause: the decision in request::once was not driven; a repeated key ran a non-idempotent request again. Change: the gateway records such a request through the trait Records before it contacts a backend server, and ends the record from the answer's body as it passes to the caller. Rows implements the trait over the platform's table with a budget of writes per host; the daemon uses it and its graceful shutdown waits for the last writes.

--- a/crates/core/src/request/header.rs
+++ b/crates/core/src/request/header.rs
@@ -17,7 +17,7 @@
 
 /// Headers that a caller must not set, because a backend server trusts the host's values, and the
 /// key itself.
-const RESERVED: [HeaderName; 7] = [
+const RESERVED: [HeaderName; 8] = [
     header::AUTHORIZATION,
     refusal::WORKSPACE,
     refusal::REQUEST,
@@ -25,6 +25,7 @@
     refusal::OUTCOME,
     refusal::REASON,
     refusal::ALTERNATIVES,
+    refusal::REPLAYED,
 ];
 
 /// Removes what a backend server must not see from a caller's headers.
@@ -71,6 +72,7 @@
     #[test_case(Case { name: "authorization", kept: false }; "key")]
     #[test_case(Case { name: "azurenotch-workspace", kept: false }; "forged workspace")]
     #[test_case(Case { name: "azurenotch-request", kept: false }; "forged request id")]
+    #[test_case(Case { name: "azurenotch-replayed", kept: false }; "forged replay")]
     #[test_case(Case { name: "transfer-encoding", kept: false }; "hop by hop")]
     #[test_case(Case { name: "x-named", kept: false }; "named by connection")]
     #[test_case(Case { name: "accept", kept: true }; "ordinary header")]
--- a/crates/daemon/src/process/daemon.rs
+++ b/crates/daemon/src/process/daemon.rs
@@ -12,6 +12,7 @@
         peer_api::PeerApi,
         peers, planner,
         recorder::{Recorder, wall_ms},
+        records::Rows,
         role,
         serve::serve,
         slot,
@@ -26,7 +27,12 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use azurenotch_config::{change::Change, setting::Setting};
 use azurenotch_platform::{Roster, Store, Table};
-use azurenotch_wire::{event::Kind, evidence::Report, id::Incarnation, version::Version};
+use azurenotch_wire::{
+    event::Kind,
+    evidence::Report,
+    id::{Host, Incarnation},
+    version::Version,
+};
 use parking_lot::Mutex;
 use prometheus::Registry;
 use ractor::{Actor, ActorRef};
@@ -40,6 +46,9 @@
 /// Longest time for each step of giving up shares, slot and roles.
 const RELEASE_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Longest time for the last records of requests with an idempotency key to be written.
+const RECORDS_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// Longest time for a change to be accepted.
 const CHANGE_TIMEOUT: Duration = Duration::from_secs(15);
 
@@ -169,12 +178,11 @@
         let evidence = Arc::new(Evidence::new(own.name.clone()));
         let (versions, faults) = Versions::new(own.name.clone(), Arc::clone(&parts.clock));
         let versions = Arc::new(versions);
-        let clock = Arc::clone(&parts.clock);
         let gateway = Gateway::new(
             &own.name,
             incarnation,
             own.data_centre.clone(),
-            clock,
+            Arc::clone(&parts.clock),
             &registry,
         )
         .context(MetricsSnafu)?
@@ -182,6 +190,7 @@
         .with_directory(Arc::clone(&hosts) as _)
         .with_freshness(Arc::clone(&evidence) as _)
         .with_shift(Arc::clone(&versions) as _)
+        .with_records(records(own.name.clone(), &parts, &log))
         .with_log(log.clone());
         let gateway = Arc::new(gateway);
         let callers = Listener::bind(own.listen, Arc::clone(&gateway), log.clone())
@@ -302,6 +311,7 @@
         if let Err(error) = self.callers.await {
             warn!(log, "daemon: port for callers failed"; "error" => %error);
         }
+        self.node.gateway.records.drain(RECORDS_TIMEOUT).await;
         self.actors.release().await;
         self.node.recorder.record(Kind::Stopped);
         self.actors.stop();
@@ -406,6 +416,12 @@
     Incarnation((wall_ms() << RANDOM_BITS) | random)
 }
 
+/// Returns the records of requests with an idempotency key.
+fn records(host: Host, parts: &Parts, log: &Logger) -> Arc<Rows> {
+    let rows = Rows::new(host, Arc::clone(&parts.table), Arc::clone(&parts.clock));
+    Arc::new(rows.with_log(log.clone()))
+}
+
 /// Returns what happens after a snapshot came into force.
 fn adopted(
     node: &Arc<Node>,
--- a/crates/daemon/src/process/mod.rs
+++ b/crates/daemon/src/process/mod.rs
@@ -13,6 +13,7 @@
 pub mod peers;
 pub mod planner;
 pub mod recorder;
+pub mod records;
 pub mod role;
 pub mod serve;
 pub mod slot;
--- /dev/null
+++ b/crates/daemon/src/process/records.rs
@@ -0,0 +1,370 @@
+//! Records of requests with an idempotency key, in the platform's table.
+
+use crate::{
+    process::recorder::wall_ms,
+    request::{
+        clock::Clock,
+        repeat::{Begun, End, Records, Request, Run},
+    },
+};
+use async_trait::async_trait;
+use azurenotch_config::snapshot::Snapshot;
+use azurenotch_core::{
+    process::bucket::Bucket,
+    request::once::{self, Once, Record, State, Step},
+};
+use azurenotch_platform::{
+    Table,
+    table::{Error as TableError, Expect, Row},
+};
+use azurenotch_wire::{
+    budget::Capacity,
+    id::{Host, Operation},
+    refusal::{Reason, Refusal},
+    time::Instant,
+};
+use parking_lot::Mutex;
+use rand::random;
+use slog::{Discard, Logger, o, warn};
+use std::{sync::Arc, time::Duration};
+use tokio::{
+    runtime::Handle,
+    time::{sleep, timeout},
+};
+use tokio_util::task::TaskTracker;
+
+/// Writes of records per second that all hosts together make.
+pub const ONCE_WRITES_PER_SECOND: f64 = 300.0;
+/// Writes of one request: the record is created and ended.
+const WRITES: u32 = 2;
+/// Attempts to create a record while it is not known whether it exists.
+const CREATE_ATTEMPTS: u32 = 3;
+/// Attempts in the background to end a record or to delete it, over about 25 s.
+const END_ATTEMPTS: u32 = 8;
+/// Time before the second attempt; it doubles before each further one.
+const PAUSE: Duration = Duration::from_millis(200);
+/// Time after which a caller may ask again for the answer of a request that is running.
+const IN_PROGRESS_RETRY: Duration = Duration::from_secs(1);
+
+/// Result of a step towards a record.
+type Result<T, E = Refusal> = std::result::Result<T, E>;
+
+/// Records of requests, each in a row of the platform's table.
+#[derive(Debug)]
+pub struct Rows {
+    shared: Arc<Shared>,
+    writes_per_second: f64,
+}
+
+#[derive(Debug)]
+struct Shared {
+    host: Host,
+    table: Arc<dyn Table>,
+    clock: Arc<dyn Clock>,
+    /// Holds one token for the [`WRITES`] of a request.
+    bucket: Mutex<Bucket>,
+    tasks: TaskTracker,
+    log: Logger,
+}
+
+/// Row of one request.
+///
+/// A claim that is dropped before the request may run deletes its row in the background.
+#[derive(Debug)]
+struct Claim {
+    shared: Arc<Shared>,
+    runtime: Handle,
+    key: String,
+    once: Once,
+    created_ms: u64,
+    written: Written,
+    writes: u32,
+}
+
+/// Whether the row holds the claim.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Written {
+    /// It does not, and no write is on its way.
+    No,
+    /// A write may have taken effect or may do so later.
+    Maybe,
+    /// It does, in this version; `late` is whether an earlier write was lost.
+    Yes { version: u64, late: bool },
+}
+
+impl Rows {
+    /// Creates the records of `host`; nothing is recorded before a configuration is adopted.
+    pub fn new(host: Host, table: Arc<dyn Table>, clock: Arc<dyn Clock>) -> Self {
+        let bucket = Mutex::new(Bucket::new(clock.now()));
+        Self {
+            shared: Arc::new(Shared {
+                host,
+                table,
+                clock,
+                bucket,
+                tasks: TaskTracker::new(),
+                log: Logger::root(Discard, o!()),
+            }),
+            writes_per_second: ONCE_WRITES_PER_SECOND,
+        }
+    }
+
+    /// Sets the writes per second of all hosts together.
+    #[must_use]
+    pub fn with_writes_per_second(mut self, writes: f64) -> Self {
+        self.writes_per_second = writes;
+        self
+    }
+
+    /// Sets the log.
+    #[must_use]
+    pub fn with_log(mut self, log: Logger) -> Self {
+        if let Some(shared) = Arc::get_mut(&mut self.shared) {
+            shared.log = log;
+        }
+        self
+    }
+}
+
+#[async_trait]
+impl Records for Rows {
+    fn adopt(&self, now: Instant, snapshot: &Snapshot) {
+        let slots = f64::from(snapshot.document.fleet.slots.max(1));
+        let rate = self.writes_per_second / f64::from(WRITES) / slots;
+        let capacity = Capacity {
+            rate,
+            // A bucket that holds less than one token admits nothing.
+            burst: rate.max(1.0),
+            concurrency: 0.0,
+        };
+        self.shared.bucket.lock().resize(now, &capacity);
+    }
+
+    async fn begin(&self, request: Request<'_>) -> Result<Begun> {
+        let now = self.shared.clock.now();
+        self.shared.bucket.lock().take(now).map_err(|delay| {
+            let refusal = Refusal::not_run(Reason::Overload);
+            delay.map_or(refusal.clone(), |delay| refusal.retry_after(delay))
+        })?;
+        let mut claim = Claim {
+            shared: Arc::clone(&self.shared),
+            runtime: Handle::current(),
+            key: once::row(request.workspace, request.key),
+            once: Once::new(
+                Operation(random()),
+                self.shared.host.clone(),
+                request.method,
+                request.target,
+            ),
+            created_ms: wall_ms(),
+            written: Written::No,
+            writes: 0,
+        };
+        let created = timeout(request.left, claim.create()).await;
+        match created.unwrap_or(Err(Refusal::not_run(Reason::StoreDown))) {
+            Ok(Some(answer)) => Ok(Begun::Replay(answer)),
+            Ok(None) => Ok(Begun::Run(Box::new(claim))),
+            Err(refusal) => Err(refusal),
+        }
+    }
+
+    async fn drain(&self, longest: Duration) {
+        let tasks = &self.shared.tasks;
+        tasks.close();
+        if timeout(longest, tasks.wait()).await.is_err() {
+            warn!(self.shared.log, "records: not all written"; "left" => tasks.len());
+        }
+    }
+}
+
+impl Claim {
+    /// Creates the row; returns the stored answer if the request has run.
+    async fn create(&mut self) -> Result<Option<once::Answer>> {
+        let store_down = Refusal::not_run(Reason::StoreDown);
+        let mut expect = Expect::Absent;
+        for attempt in 0..CREATE_ATTEMPTS {
+            pause(attempt).await;
+            let Some(row) = self.put_running(expect).await? else {
+                continue;
+            };
+            let record = row.as_ref().map(decode).transpose()?;
+            let version = row.map_or(0, |row| row.version);
+            let step = self.once.judge(record.as_ref(), wall_ms());
+            match step {
+                Step::Create => expect = Expect::Absent,
+                Step::Replace => expect = Expect::Version(version),
+                Step::Run => {
+                    let late = self.writes > 1;
+                    self.written = Written::Yes { version, late };
+                    return Ok(None);
+                }
+                step => {
+                    // A write that arrives later fails, because the row belongs to another run.
+                    self.written = Written::No;
+                    return decide(step);
+                }
+            }
+        }
+        Err(store_down)
+    }
+
+    /// Writes the row and returns it as it is then, or `None` if that is not known.
+    async fn put_running(&mut self, expect: Expect) -> Result<Option<Option<Row>>> {
+        let value = encode(&self.once.running(self.created_ms))?;
+        let table = Arc::clone(&self.shared.table);
+        let before = self.written;
+        // Set before the write, because the request can be cancelled while it is on its way.
+        self.written = Written::Maybe;
+        self.count_write();
+        match table.put(&self.key, &value, expect, None).await {
+            Ok(version) => Ok(Some(Some(Row { version, value }))),
+            Err(TableError::Conflict { row, .. }) => {
+                self.written = before;
+                Ok(Some(row))
+            }
+            Err(TableError::Ambiguous { .. }) => Ok(table.get(&self.key).await.ok()),
+            Err(_) if before == Written::Maybe => Ok(table.get(&self.key).await.ok()),
+            Err(_) => {
+                self.written = before;
+                Err(Refusal::not_run(Reason::StoreDown))
+            }
+        }
+    }
+
+    /// Charges writes above those that the request was admitted with.
+    fn count_write(&mut self) {
+        self.writes += 1;
+        if self.writes > WRITES {
+            let now = self.shared.clock.now();
+            let cost = f64::from(WRITES).recip();
+            self.shared.bucket.lock().withdraw(now, cost);
+        }
+    }
+
+    /// Writes the end of the run, expecting the version that announced it.
+    async fn finish(mut self, version: u64, state: State) {
+        let record = self.once.ended(self.created_ms, state);
+        self.written = Written::No;
+        let Ok(value) = encode(&record) else {
+            return;
+        };
+        let table = Arc::clone(&self.shared.table);
+        for attempt in 0..END_ATTEMPTS {
+            pause(attempt).await;
+            self.count_write();
+            let expect = Expect::Version(version);
+            match table.put(&self.key, &value, expect, None).await {
+                // After a lost answer, a conflict shows that the write took effect.
+                Ok(_) | Err(TableError::Conflict { .. }) => return,
+                Err(_) => {}
+            }
+        }
+        warn!(self.shared.log, "records: end of a run not written"; "row" => &self.key);
+    }
+
+    /// Deletes the row if it is still this claim's, so that a repeat can run.
+    ///
+    /// After a lost write the search goes on for a while, because the write may arrive late.
+    async fn release(mut self, late: bool) {
+        self.written = Written::No;
+        let table = Arc::clone(&self.shared.table);
+        for attempt in 0..END_ATTEMPTS {
+            pause(attempt).await;
+            let done = match table.get(&self.key).await {
+                Ok(Some(row)) if self.is_own(&row) => {
+                    self.count_write();
+                    let deleted = table.delete(&self.key, row.version, None).await;
+                    deleted.is_ok()
+                }
+                Ok(_) => true,
+                Err(_) => false,
+            };
+            if done && !late {
+                return;
+            }
+        }
+    }
+
+    fn is_own(&self, row: &Row) -> bool {
+        decode(row).is_ok_and(|record| {
+            record.state == State::Running
+                && self.once.judge(Some(&record), self.created_ms) == Step::Run
+        })
+    }
+
+    /// Returns the claim for a task and leaves one that holds nothing.
+    fn take(&mut self) -> Self {
+        let claim = Self {
+            shared: Arc::clone(&self.shared),
+            runtime: self.runtime.clone(),
+            key: self.key.clone(),
+            once: self.once.clone(),
+            created_ms: self.created_ms,
+            written: self.written,
+            writes: self.writes,
+        };
+        self.written = Written::No;
+        // Writes that were not made are returned once, by the task.
+        self.writes = WRITES;
+        claim
+    }
+
+    fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
+        self.shared.tasks.spawn_on(task, &self.runtime);
+    }
+}
+
+impl Run for Claim {
+    fn end(mut self: Box<Self>, end: End) {
+        let Written::Yes { version, late } = self.written else {
+            return;
+        };
+        let claim = self.take();
+        match end {
+            End::NotRun => self.spawn(claim.release(late)),
+            End::Unknown => self.spawn(claim.finish(version, State::Unknown)),
+            End::Answered(answer) => self.spawn(claim.finish(version, State::Done(answer))),
+        }
+    }
+}
+
+impl Drop for Claim {
+    fn drop(&mut self) {
+        if self.written != Written::No {
+            let claim = self.take();
+            self.spawn(claim.release(true));
+        } else if self.writes < WRITES {
+            // The request makes no second write.
+            let unused = f64::from(WRITES - self.writes) / f64::from(WRITES);
+            let now = self.shared.clock.now();
+            self.shared.bucket.lock().add(now, unused);
+        }
+    }
+}
+
+/// Turns what the record of another run says into an answer or a refusal.
+fn decide(step: Step) -> Result<Option<once::Answer>> {
+    match step {
+        Step::Replay(answer) => Ok(Some(answer)),
+        Step::InProgress => {
+            Err(Refusal::unknown(Reason::InProgress).retry_after(IN_PROGRESS_RETRY))
+        }
+        Step::Mismatch => Err(Refusal::not_run(Reason::Malformed)),
+        _ => Err(Refusal::unknown(Reason::OutcomeLost)),
+    }
+}
+
+fn encode(record: &Record) -> Result<Vec<u8>> {
+    rmp_serde::to_vec(record).map_err(|_source| Refusal::not_run(Reason::StoreDown))
+}
+
+/// Reads a record; a malformed one may stand for a run and is never overwritten.
+fn decode(row: &Row) -> Result<Record> {
+    rmp_serde::from_slice(&row.value).map_err(|_source| Refusal::unknown(Reason::OutcomeLost))
+}
+
+async fn pause(attempt: u32) {
+    if attempt > 0 {
+        sleep(PAUSE * 2_u32.pow(attempt - 1)).await;
+    }
+}
--- a/crates/daemon/src/request/body.rs
+++ b/crates/daemon/src/request/body.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     connection::pool::Lease,
-    request::{upload::Source, watch::Watch},
+    request::{keep::Kept, upload::Source, watch::Watch},
 };
 use bytes::Bytes;
 use http_body::{Body as HttpBody, Frame, SizeHint};
@@ -46,6 +46,8 @@
     Whole(Full<Bytes>),
     /// A body that a backend server sends.
     Stream(Box<Download>),
+    /// A body that is copied into the record of its request.
+    Kept(Box<Kept>),
 }
 
 /// Body that a backend server sends.
@@ -189,6 +191,7 @@
                 .poll_frame(cx)
                 .map_err(|never| match never {}),
             Self::Stream(body) => body.poll(cx),
+            Self::Kept(body) => body.poll(cx),
         }
     }
 
@@ -196,6 +199,7 @@
         match self {
             Self::Whole(body) => body.is_end_stream(),
             Self::Stream(body) => body.inner.is_end_stream(),
+            Self::Kept(body) => body.inner().is_end_stream(),
         }
     }
 
@@ -203,6 +207,7 @@
         match self {
             Self::Whole(body) => body.size_hint(),
             Self::Stream(body) => body.inner.size_hint(),
+            Self::Kept(body) => body.inner().size_hint(),
         }
     }
 }
--- a/crates/daemon/src/request/gateway.rs
+++ b/crates/daemon/src/request/gateway.rs
@@ -8,8 +8,10 @@
         directory::{Directory, Fixed},
         forward::{self, Job},
         freshness::{Always, Freshness},
+        head::timeout,
         metrics::{Metrics, Unit},
         refuse,
+        repeat::{Records, Start, Unavailable},
         shift::{Choice, Settled, Shift},
         transfer::{Transfer, Transfers},
         upload::Source,
@@ -26,7 +28,7 @@
 };
 use azurenotch_wire::{
     id::{DataCentre, Host, Incarnation},
-    refusal::{self, Reason, Refusal},
+    refusal::{Reason, Refusal},
 };
 use http::{HeaderValue, Method, Request, Response, header, request::Parts};
 use hyper::body::{Body as _, Incoming};
@@ -68,6 +70,7 @@
     pub(crate) directory: Arc<dyn Directory>,
     pub(crate) freshness: Arc<dyn Freshness>,
     pub(crate) shift: Arc<dyn Shift>,
+    pub(crate) records: Arc<dyn Records>,
     pub(crate) metrics: Metrics,
     pub(crate) retry: Mutex<Retry>,
 }
@@ -115,6 +118,7 @@
             directory: Arc::new(Fixed::new(LOOK_UP_LIFETIME)),
             freshness: Arc::new(Always),
             shift: Arc::new(Settled),
+            records: Arc::new(Unavailable),
             metrics: Metrics::new(registry)?,
             retry: Mutex::default(),
         })
@@ -148,6 +152,13 @@
         self
     }
 
+    /// Sets the records of requests with an idempotency key.
+    #[must_use]
+    pub fn with_records(mut self, records: Arc<dyn Records>) -> Self {
+        self.records = records;
+        self
+    }
+
     /// Sets the log.
     #[must_use]
     pub fn with_log(mut self, log: Logger) -> Self {
@@ -170,6 +181,7 @@
         }
         let now = self.clock.now();
         self.admission.adopt(now, &snapshot);
+        self.records.adopt(now, &snapshot);
         let current = Arc::new(Current::new(
             now,
             snapshot,
@@ -284,26 +296,33 @@
         let grant = self.grant(&current, &head)?;
         label.route = Some(grant.name.clone());
         label.holder.clone_from(&grant.holder);
-        let deadline = Deadline::new(arrived, grant.route.timeout, timeout(&head)?);
+        let deadline = Deadline::new(arrived, grant.route.timeout, timeout(&head.headers)?);
         // A body of unknown length is measured while it passes.
         if body.size_hint().lower() > grant.route.body_limit {
             return Err(Refusal::not_run(Reason::BodyTooLarge));
         }
         let guards = self.admit(&current, &grant)?;
-        let choice = self.release(&current, &grant)?;
-        self.retry.lock().begin();
-        let upload = Source::new(body, grant.route.body_limit);
-        let job = Job {
-            gateway: self,
-            grant: &grant,
-            choice,
-            head,
-            upload,
-            deadline,
-            arrived,
-            held: guards,
+        let run = match self.begin(&grant, &head, deadline, &guards).await? {
+            Start::Run(run) => run,
+            Start::Replay(response) => return Ok(response),
         };
-        forward::run(job).await
+        let result = async {
+            let choice = self.release(&current, &grant)?;
+            self.retry.lock().begin();
+            let upload = Source::new(body, grant.route.body_limit);
+            let job = Job {
+                gateway: self,
+                grant: &grant,
+                choice,
+                head,
+                upload,
+                deadline,
+                arrived,
+                held: guards,
+            };
+            forward::run(job).await
+        };
+        run.pass_on(result.await)
     }
 
     fn grant(&self, current: &Current, head: &Parts) -> Result<Grant> {
@@ -374,13 +393,3 @@
             .ok_or(refusal)
     }
 }
-
-fn timeout(head: &Parts) -> Result<Option<u64>> {
-    let Some(value) = head.headers.get(refusal::TIMEOUT) else {
-        return Ok(None);
-    };
-    let millis = value.to_str().ok().and_then(|text| text.parse().ok());
-    millis.map_or(Err(Refusal::not_run(Reason::Malformed)), |millis| {
-        Ok(Some(millis))
-    })
-}
--- a/crates/daemon/src/request/metrics.rs
+++ b/crates/daemon/src/request/metrics.rs
@@ -23,6 +23,7 @@
     refusals: IntCounterVec,
     retries: IntCounterVec,
     broken: IntCounterVec,
+    once: IntCounterVec,
     latency: HistogramVec,
     added: Histogram,
     /// Open connections of callers.
@@ -71,6 +72,7 @@
             refusals: counters("refusals", "Refused requests", &["reason", "workspace"])?,
             retries: counters("retries", "Attempts made again", &["route"])?,
             broken: counters("broken_answers", "Answers whose body broke", &["route"])?,
+            once: counters("once", "Requests with an idempotency key", &["result"])?,
             latency: HistogramVec::new(latency, &["route"])?,
             added: Histogram::with_opts(added)?,
             connections: IntGauge::new("azurenotch_connections", "Open caller connections")?,
@@ -80,6 +82,7 @@
         registry.register(Box::new(metrics.refusals.clone()))?;
         registry.register(Box::new(metrics.retries.clone()))?;
         registry.register(Box::new(metrics.broken.clone()))?;
+        registry.register(Box::new(metrics.once.clone()))?;
         registry.register(Box::new(metrics.latency.clone()))?;
         registry.register(Box::new(metrics.added.clone()))?;
         registry.register(Box::new(metrics.connections.clone()))?;
@@ -110,6 +113,16 @@
         self.broken.with_label_values(&[route])
     }
 
+    /// Counts a request with an idempotency key by what was decided: `run`, `replay` or a reason.
+    pub fn once(&self, result: &str) {
+        self.once.with_label_values(&[result]).inc();
+    }
+
+    /// Counts a request that got a stored answer.
+    pub fn replayed(&self, route: &str) {
+        self.requests.with_label_values(&[route, "replayed"]).inc();
+    }
+
     /// Counts an attempt that is made again.
     pub fn retried(&self, route: &str) {
         self.retries.with_label_values(&[route]).inc();
--- /dev/null
+++ b/crates/daemon/tests/once.rs
@@ -0,0 +1,355 @@
+//! Whether a request with an idempotency key runs at most once, on whichever hosts it arrives.
+
+mod support;
+
+use azurenotch_core::request::once::{Once, row};
+use azurenotch_daemon::{
+    process::records::Rows,
+    request::{clock::Monotonic, repeat::Records},
+};
+use azurenotch_platform::{Table, table::Expect};
+use azurenotch_test_support::{
+    backend::{Behaviour, Mode, Server},
+    fault::{Endpoint, Fault},
+    memory::Platform,
+};
+use azurenotch_wire::id::Operation;
+use std::{sync::Arc, time::Duration};
+use support::{Answer, Caller, Fixture};
+use test_case::test_case;
+use tokio::{join, time::sleep};
+
+const HOSTS: usize = 2;
+const PATH: &str = "/write/slot/7";
+const OTHER_PATH: &str = "/write/slot/8";
+const LARGE: &str = "/write/bytes/20000";
+/// Time of a run at the backend server.
+const RUN: Duration = Duration::from_secs(1);
+/// Time after which all background writes have been made or given up.
+const SETTLED: Duration = Duration::from_secs(60);
+
+/// Hosts with one table and one backend server.
+struct World {
+    platform: Platform,
+    server: Server,
+    hosts: Vec<Fixture>,
+    rows: Vec<Arc<Rows>>,
+}
+
+impl World {
+    async fn start() -> Self {
+        let platform = Platform::new(1);
+        let behaviour = Behaviour {
+            slots: 64,
+            latency: RUN,
+            ..Behaviour::default()
+        };
+        let server = Server::start(behaviour).await.expect("free port");
+        let (mut hosts, mut rows) = (Vec::new(), Vec::new());
+        for number in 1..=HOSTS {
+            let name = format!("h{number}").into();
+            let clock = Arc::new(Monotonic::new());
+            let records = Arc::new(Rows::new(name, Arc::new(platform.clone()), clock));
+            rows.push(Arc::clone(&records));
+            let with = |gateway: azurenotch_daemon::request::gateway::Gateway| {
+                gateway.with_records(records)
+            };
+            hosts.push(Fixture::with(&[server.address()], with, |it| it).await);
+        }
+        // The budgets of table writes start empty.
+        sleep(Duration::from_secs(1)).await;
+        Self {
+            platform,
+            server,
+            hosts,
+            rows,
+        }
+    }
+
+    fn table(&self, fault: Fault) {
+        self.platform.set_fault(Endpoint::Table, fault);
+    }
+
+    /// Returns how often the backend server got a path.
+    fn runs(&self, path: &str) -> usize {
+        let receipts = self.server.receipts();
+        receipts.iter().filter(|it| it.path == path).count()
+    }
+
+    /// Sends a request and returns the answer in words; `not-run` has to be true.
+    async fn call(&self, host: usize, key: &str, path: &str) -> String {
+        let before = self.runs(path);
+        let answer = self.hosts[host].call(&post(key, path)).await;
+        let words = words(&answer);
+        if words.starts_with("not-run") {
+            assert_eq!(self.runs(path), before, "{words}, but the request was sent");
+        }
+        words
+    }
+}
+
+fn post(key: &str, path: &str) -> String {
+    format!(
+        "POST {path} HTTP/1.1\r\nhost: h\r\nauthorization: Bearer {key}\r\n\
+         idempotency-key: booking-1\r\ncontent-length: 1\r\n\r\nx"
+    )
+}
+
+fn words(answer: &Answer) -> String {
+    match answer.refusal() {
+        ("none", _) if answer.header("azurenotch-replayed") == Some("true") => {
+            format!("{} replayed", answer.status())
+        }
+        ("none", _) => answer.status().to_string(),
+        (outcome, reason) => format!("{outcome} {reason}"),
+    }
+}
+
+fn down() -> Fault {
+    Fault {
+        down: true,
+        ..Fault::default()
+    }
+}
+
+/// A request on the first host and a repeat on the second one.
+struct Case {
+    /// Happens before the request.
+    before: fn(&World),
+    /// Happens while the backend server runs the request.
+    during: fn(&World),
+    /// Time between the answer and `between`.
+    pause: Duration,
+    /// Happens between the request and its repeat.
+    between: fn(&World),
+    path: &'static str,
+    repeat: (&'static str, &'static str),
+    words: [&'static str; 2],
+    /// Runs of the request's path and of the repeat's path.
+    runs: [usize; 2],
+}
+
+impl Default for Case {
+    fn default() -> Self {
+        Self {
+            before: |_| {},
+            during: |_| {},
+            pause: Duration::ZERO,
+            between: |_| {},
+            path: PATH,
+            repeat: (support::KEY, PATH),
+            words: ["200", "200 replayed"],
+            runs: [1, 1],
+        }
+    }
+}
+
+/// Guards against a second run, a false `not-run` and a key that stays blocked without a run.
+#[test_case(Case::default(); "repeat on another host")]
+#[test_case(Case {
+    before: |it| it.table(Fault { lose_answers: 1, ..Fault::default() }),
+    ..Case::default()
+}; "answer of the create lost")]
+#[test_case(Case {
+    before: |it| it.table(Fault { drop_writes: 1, ..Fault::default() }),
+    ..Case::default()
+}; "create dropped")]
+#[test_case(Case {
+    before: |it| it.table(down()),
+    between: |it| it.table(Fault::default()),
+    words: ["not-run store-down", "200"],
+    ..Case::default()
+}; "table down")]
+#[test_case(Case {
+    before: |it| it.table(Fault { delay: Duration::from_secs(5), ..Fault::default() }),
+    between: |it| it.table(Fault::default()),
+    words: ["not-run store-down", "200"],
+    ..Case::default()
+}; "creates arrive after the refusal")]
+#[test_case(Case {
+    during: |it| it.table(down()),
+    pause: SETTLED,
+    between: |it| it.table(Fault::default()),
+    words: ["200", "unknown in-progress"],
+    ..Case::default()
+}; "table down from the create on")]
+#[test_case(Case {
+    during: |it| it.table(Fault { drop_writes: 2, ..Fault::default() }),
+    ..Case::default()
+}; "first writes of the end dropped")]
+#[test_case(Case {
+    during: |it| it.table(Fault { lose_answers: 1, ..Fault::default() }),
+    ..Case::default()
+}; "answer of the end lost")]
+#[test_case(Case {
+    before: |it| it.server.mode_for(Mode::Hangup, 1),
+    words: ["unknown lost-server", "unknown outcome-lost"],
+    ..Case::default()
+}; "backend server hangs up")]
+#[test_case(Case {
+    before: |it| it.server.mode_for(Mode::WrongId, 1),
+    words: ["unknown broken-answer", "unknown outcome-lost"],
+    ..Case::default()
+}; "answer of another request")]
+#[test_case(Case {
+    before: |it| it.server.mode_for(Mode::Truncated, 1),
+    path: "/write/bytes/1000",
+    repeat: (support::KEY, "/write/bytes/1000"),
+    words: ["200", "unknown outcome-lost"],
+    ..Case::default()
+}; "answer broken off")]
+#[test_case(Case {
+    path: LARGE,
+    repeat: (support::KEY, LARGE),
+    words: ["200", "unknown outcome-lost"],
+    ..Case::default()
+}; "answer too large to keep")]
+#[test_case(Case {
+    repeat: (support::KEY, OTHER_PATH),
+    words: ["200", "not-run malformed"],
+    runs: [1, 0],
+    ..Case::default()
+}; "key used for another request")]
+#[test_case(Case {
+    repeat: ("other-key", PATH),
+    words: ["200", "200"],
+    runs: [2, 2],
+    ..Case::default()
+}; "key used by another workspace")]
+#[tokio::test(start_paused = true)]
+async fn a_repeat_never_runs_twice(case: Case) {
+    let world = World::start().await;
+    (case.before)(&world);
+    let first = async {
+        let words = world.call(0, support::KEY, case.path).await;
+        sleep(case.pause).await;
+        words
+    };
+    let during = async {
+        world.server.wait_for(|it| it.received == 1).await;
+        (case.during)(&world);
+    };
+    let first = tokio::select! {
+        words = first => words,
+        words = async { during.await; std::future::pending().await } => words,
+    };
+    (case.between)(&world);
+    sleep(SETTLED).await;
+    let second = world.call(1, case.repeat.0, case.repeat.1).await;
+    assert_eq!([first.as_str(), second.as_str()], case.words);
+    assert_eq!(
+        [case.path, case.repeat.1].map(|it| world.runs(it)),
+        case.runs
+    );
+}
+
+/// Guards against two runs when the same request reaches two hosts at the same time.
+#[tokio::test(start_paused = true)]
+async fn concurrent_requests_run_once() {
+    let world = World::start().await;
+    let call = |host| world.call(host, support::KEY, PATH);
+    let (first, second) = join!(call(0), call(1));
+    let mut words = [first, second];
+    words.sort();
+    assert_eq!(words, ["200", "unknown in-progress"]);
+    assert_eq!(world.runs(PATH), 1);
+}
+
+/// Guards against a second run for a caller that lost the first answer.
+#[test_case(true, "200 replayed"; "after the run")]
+#[test_case(false, "unknown outcome-lost"; "during the run")]
+#[tokio::test(start_paused = true)]
+async fn a_caller_that_lost_its_answer_starts_no_second_run(ended: bool, expected: &str) {
+    let world = World::start().await;
+    let mut caller = Caller::connect(world.hosts[0].address).await;
+    caller.send(&post(support::KEY, PATH)).await;
+    world.server.wait_for(|it| it.received == 1).await;
+    if ended {
+        world.platform.wait_for(|it| it.table.writes == 2).await;
+    }
+    drop(caller);
+    sleep(SETTLED).await;
+    assert_eq!(world.call(1, support::KEY, PATH).await, expected);
+    assert_eq!(world.runs(PATH), 1);
+}
+
+/// Guards against a key that stays blocked by a request that no backend server got.
+#[tokio::test(start_paused = true)]
+async fn a_request_that_did_not_run_can_be_repeated() {
+    let world = World::start().await;
+    world.server.close().await;
+    assert_eq!(world.call(0, support::KEY, PATH).await, "not-run no-server");
+    world.server.reopen().await.expect("the port is reserved");
+    sleep(SETTLED).await;
+    assert_eq!(world.call(1, support::KEY, PATH).await, "200");
+}
+
+/// Guards against a record that blocks its key for longer than the window.
+#[tokio::test(start_paused = true)]
+async fn an_expired_record_is_replaced() {
+    let world = World::start().await;
+    let old = Once::new(Operation(1), "h9".into(), "POST", OTHER_PATH).running(0);
+    let key = row(&"correios".into(), b"booking-1");
+    let old = rmp_serde::to_vec(&old).expect("a record serializes");
+    let written = world.platform.put(&key, &old, Expect::Absent, None).await;
+    written.expect("the table is up");
+    assert_eq!(world.call(0, support::KEY, PATH).await, "200");
+    assert_eq!(world.call(1, support::KEY, PATH).await, "200 replayed");
+    assert_eq!(world.runs(PATH), 1);
+}
+
+/// Guards against keys that no table row can stand for.
+#[test_case(&format!("idempotency-key: {}\r\n", "k".repeat(257)); "too long")]
+#[test_case("idempotency-key: a\r\nidempotency-key: a\r\n"; "repeated")]
+#[test_case("idempotency-key: \r\n"; "empty")]
+#[tokio::test(start_paused = true)]
+async fn a_malformed_key_does_not_run(header: &str) {
+    let world = World::start().await;
+    let request = post(support::KEY, PATH).replace("idempotency-key: booking-1\r\n", header);
+    let answer = world.hosts[0].call(&request).await;
+    assert_eq!(words(&answer), "not-run malformed");
+    assert_eq!(world.runs(PATH), 0);
+    assert_eq!(world.platform.counters().table.received, 0);
+}
+
+/// Guards against more table writes than the platform takes, and against a replay that is charged
+/// as a run.
+#[tokio::test(start_paused = true)]
+async fn requests_above_the_table_budget_are_refused() {
+    let world = World::start().await;
+    // One slot: a burst of 300 writes is 150 runs, or one run and 298 replays.
+    assert_eq!(world.call(0, support::KEY, PATH).await, "200");
+    sleep(SETTLED).await;
+    let mut replays = 0;
+    let refused = loop {
+        let answer = world.hosts[0].call(&post(support::KEY, PATH)).await;
+        if words(&answer) != "200 replayed" {
+            break answer;
+        }
+        replays += 1;
+    };
+    assert_eq!(words(&refused), "not-run overload");
+    assert_eq!(refused.header("retry-after"), Some("1"));
+    assert!((298..=300).contains(&replays), "{replays} replays");
+    assert_eq!(world.runs(PATH), 1);
+    let counted = world.hosts[0].gauge("azurenotch_once_total");
+    assert_eq!(counted, replays + 2);
+}
+
+/// Guards against a graceful shutdown that loses the end of a run.
+#[tokio::test(start_paused = true)]
+async fn a_shutdown_waits_for_the_last_writes() {
+    let world = World::start().await;
+    let during = async {
+        world.server.wait_for(|it| it.received == 1).await;
+        world.table(Fault {
+            drop_writes: 3,
+            ..Fault::default()
+        });
+    };
+    let (words, ()) = join!(world.call(0, support::KEY, PATH), during);
+    assert_eq!(words, "200");
+    world.rows[0].drain(Duration::from_secs(5)).await;
+    assert_eq!(world.platform.counters().table.writes, 2);
+    assert_eq!(world.call(1, support::KEY, PATH).await, "200 replayed");
+}
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -204,6 +204,7 @@
             ]),
             workspaces: BTreeMap::from([
                 ("correios".into(), contract(1e9, 1000)),
+                ("oficina".into(), contract(1e9, 1000)),
                 ("no-rate".into(), contract(0.0, 1000)),
                 ("no-concurrency".into(), contract(1e9, 0)),
             ]),
@@ -211,6 +212,7 @@
         },
         keys: BTreeMap::from([
             (access::hash(KEY.as_bytes()), key("correios", withdrawn)),
+            (access::hash(b"other-key"), key("oficina", false)),
             (access::hash(b"old-key"), key("correios", true)),
             (access::hash(b"slow-key"), key("no-rate", false)),
             (access::hash(b"narrow-key"), key("no-concurrency", false)),
--- a/crates/wire/src/refusal.rs
+++ b/crates/wire/src/refusal.rs
@@ -22,6 +22,8 @@
 pub const TIMEOUT: HeaderName = HeaderName::from_static("azurenotch-timeout-ms");
 /// Header with which a caller names a request that must not run twice.
 pub const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+/// Header that marks a stored answer, given to a repeated request instead of a second run.
+pub const REPLAYED: HeaderName = HeaderName::from_static("azurenotch-replayed");
 
 /// Whether a refused request may have been run by a backend server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display, Serialize, Deserialize)]
