--- a/crates/daemon/tests/once.rs
+++ b/crates/daemon/tests/once.rs
@@ -3,107 +3,21 @@
 mod support;
 
 use azurenotch_core::request::once::{Once, row};
-use azurenotch_daemon::{
-    process::records::Rows,
-    request::{clock::Monotonic, repeat::Records},
-};
+use azurenotch_daemon::request::repeat::Records;
 use azurenotch_platform::{Table, table::Expect};
-use azurenotch_test_support::{
-    backend::{Behaviour, Mode, Server},
-    fault::{Endpoint, Fault},
-    memory::Platform,
-};
+use azurenotch_test_support::{backend::Mode, fault::Fault, memory::Platform};
 use azurenotch_wire::id::Operation;
 use std::{sync::Arc, time::Duration};
-use support::{Answer, Caller, Fixture};
+use support::{
+    Backend, Caller, Reply,
+    world::{SETTLED, World, hosts, post, words},
+};
 use test_case::test_case;
 use tokio::{join, time::sleep};
 
-const HOSTS: usize = 2;
 const PATH: &str = "/write/slot/7";
 const OTHER_PATH: &str = "/write/slot/8";
 const LARGE: &str = "/write/bytes/20000";
-/// Time of a run at the backend server.
-const RUN: Duration = Duration::from_secs(1);
-/// Time after which all background writes have been made or given up.
-const SETTLED: Duration = Duration::from_secs(60);
-
-/// Hosts with one table and one backend server.
-struct World {
-    platform: Platform,
-    server: Server,
-    hosts: Vec<Fixture>,
-    rows: Vec<Arc<Rows>>,
-}
-
-impl World {
-    async fn start() -> Self {
-        let platform = Platform::new(1);
-        let behaviour = Behaviour {
-            slots: 64,
-            latency: RUN,
-            ..Behaviour::default()
-        };
-        let server = Server::start(behaviour).await.expect("free port");
-        let (mut hosts, mut rows) = (Vec::new(), Vec::new());
-        for number in 1..=HOSTS {
-            let name = format!("h{number}").into();
-            let clock = Arc::new(Monotonic::new());
-            let records = Arc::new(Rows::new(name, Arc::new(platform.clone()), clock));
-            rows.push(Arc::clone(&records));
-            let with = |gateway: azurenotch_daemon::request::gateway::Gateway| {
-                gateway.with_records(records)
-            };
-            hosts.push(Fixture::with(&[server.address()], with, |it| it).await);
-        }
-        // The budgets of table writes start empty.
-        sleep(Duration::from_secs(1)).await;
-        Self {
-            platform,
-            server,
-            hosts,
-            rows,
-        }
-    }
-
-    fn table(&self, fault: Fault) {
-        self.platform.set_fault(Endpoint::Table, fault);
-    }
-
-    /// Returns how often the backend server got a path.
-    fn runs(&self, path: &str) -> usize {
-        let receipts = self.server.receipts();
-        receipts.iter().filter(|it| it.path == path).count()
-    }
-
-    /// Sends a request and returns the answer in words; `not-run` has to be true.
-    async fn call(&self, host: usize, key: &str, path: &str) -> String {
-        let before = self.runs(path);
-        let answer = self.hosts[host].call(&post(key, path)).await;
-        let words = words(&answer);
-        if words.starts_with("not-run") {
-            assert_eq!(self.runs(path), before, "{words}, but the request was sent");
-        }
-        words
-    }
-}
-
-fn post(key: &str, path: &str) -> String {
-    format!(
-        "POST {path} HTTP/1.1\r\nhost: h\r\nauthorization: Bearer {key}\r\n\
-         idempotency-key: booking-1\r\ncontent-length: 1\r\n\r\nx"
-    )
-}
-
-fn words(answer: &Answer) -> String {
-    match answer.refusal() {
-        ("none", _) if answer.header("azurenotch-replayed") == Some("true") => {
-            format!("{} replayed", answer.status())
-        }
-        ("none", _) => answer.status().to_string(),
-        (outcome, reason) => format!("{outcome} {reason}"),
-    }
-}
 
 fn down() -> Fault {
     Fault {
@@ -226,12 +140,15 @@
         words
     };
     let during = async {
-        world.server.wait_for(|it| it.received == 1).await;
+        world.received().await;
         (case.during)(&world);
     };
     let first = tokio::select! {
         words = first => words,
-        words = async { during.await; std::future::pending().await } => words,
+        words = async {
+            during.await;
+            std::future::pending().await
+        } => words,
     };
     (case.between)(&world);
     sleep(SETTLED).await;
@@ -247,11 +164,14 @@
 #[tokio::test(start_paused = true)]
 async fn concurrent_requests_run_once() {
     let world = World::start().await;
-    let call = |host| world.call(host, support::KEY, PATH);
-    let (first, second) = join!(call(0), call(1));
-    let mut words = [first, second];
-    words.sort();
-    assert_eq!(words, ["200", "unknown in-progress"]);
+    let request = post(support::KEY, PATH);
+    let [one, two] = [0, 1].map(|host| world.hosts[host].call(&request));
+    let (one, two) = join!(one, two);
+    let mut answers = [(words(&one), one), (words(&two), two)];
+    answers.sort_by(|a, b| a.0.cmp(&b.0));
+    let [(first, _), (second, refusal)] = answers;
+    assert_eq!([first.as_str(), &second], ["200", "unknown in-progress"]);
+    assert_eq!(refusal.header("retry-after"), Some("1"));
     assert_eq!(world.runs(PATH), 1);
 }
 
@@ -263,9 +183,9 @@
     let world = World::start().await;
     let mut caller = Caller::connect(world.hosts[0].address).await;
     caller.send(&post(support::KEY, PATH)).await;
-    world.server.wait_for(|it| it.received == 1).await;
+    world.received().await;
     if ended {
-        world.platform.wait_for(|it| it.table.writes == 2).await;
+        world.written(2).await;
     }
     drop(caller);
     sleep(SETTLED).await;
@@ -327,6 +247,7 @@
             break answer;
         }
         replays += 1;
+        assert!(replays < 1000, "the budget refuses nothing");
     };
     assert_eq!(words(&refused), "not-run overload");
     assert_eq!(refused.header("retry-after"), Some("1"));
@@ -341,7 +262,7 @@
 async fn a_shutdown_waits_for_the_last_writes() {
     let world = World::start().await;
     let during = async {
-        world.server.wait_for(|it| it.received == 1).await;
+        world.received().await;
         world.table(Fault {
             drop_writes: 3,
             ..Fault::default()
@@ -353,3 +274,40 @@
     assert_eq!(world.platform.counters().table.writes, 2);
     assert_eq!(world.call(1, support::KEY, PATH).await, "200 replayed");
 }
+
+/// Guards against a replay whose bytes cannot be read, because the record keeps no coding.
+#[tokio::test(start_paused = true)]
+async fn a_coded_answer_is_not_replayed() {
+    let coded = b"HTTP/1.1 200 OK\r\nazurenotch-request: {id}\r\ncontent-encoding: gzip\r\n\
+        content-length: 1\r\n\r\nx";
+    let mut server = Backend::start(|_| Reply::Raw(coded.to_vec())).await;
+    let (hosts, _rows) = hosts(&Platform::new(1), server.address).await;
+    let request = post(support::KEY, PATH);
+    assert_eq!(words(&hosts[0].call(&request).await), "200");
+    sleep(SETTLED).await;
+    assert_eq!(
+        words(&hosts[1].call(&request).await),
+        "unknown outcome-lost"
+    );
+    assert_eq!(server.drain().len(), 1);
+}
+
+/// Guards against a replay for a key that was withdrawn while the table was slow.
+#[tokio::test(start_paused = true)]
+async fn a_key_withdrawn_while_the_table_is_slow_gets_no_replay() {
+    let world = World::start().await;
+    assert_eq!(world.call(1, support::KEY, PATH).await, "200");
+    sleep(SETTLED).await;
+    world.table(Fault {
+        delay: Duration::from_millis(500),
+        ..Fault::default()
+    });
+    let withdraw = async {
+        world.hosts[0].waits_for(1).await;
+        let servers = [world.server.address()];
+        let snapshot = support::snapshot(&servers, 2, true);
+        assert!(world.hosts[0].gateway.adopt(Arc::new(snapshot)));
+    };
+    let (words, ()) = join!(world.call(0, support::KEY, PATH), withdraw);
+    assert_eq!(words, "not-run withdrawn");
+}
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -2,12 +2,14 @@
 
 #![allow(
     dead_code,
+    unused_imports,
     reason = "each test program uses a part of the shared support"
 )]
 
 mod backend;
 mod caller;
 mod head;
+pub mod world;
 
 pub use backend::{Backend, Reply};
 pub use caller::{Answer, Caller};
