perf(daemon): measure the cost of an idempotency key

Cause: the latency that the record of a request adds was not known. Change: examples/once.rs alternates rounds of non-idempotent requests with and without the header through one gateway and a table over loopback HTTP.

--- /dev/null
+++ b/crates/daemon/examples/once.rs
@@ -0,0 +1,267 @@
+//! Latency of non-idempotent requests with an idempotency key compared with requests without one.
+//!
+//! Both kinds alternate in the same run through one gateway, whose records are rows of a table in
+//! memory behind the platform's HTTP interface. Run with
+//! `cargo run --release -p azurenotch-daemon --example once -- [SEED]`.
+
+use azurenotch_config::{
+    document::{Access, Contract, Document, Fleet, Route, Server as Entry},
+    snapshot::{Key, Snapshot},
+};
+use azurenotch_core::request::access;
+use azurenotch_daemon::{
+    connection::listener::Listener,
+    process::records::Rows,
+    request::{clock::Monotonic, gateway::Gateway, repeat::Records},
+};
+use azurenotch_platform::http::Client;
+use azurenotch_test_support::{
+    backend::{Behaviour, Server},
+    platform,
+};
+use azurenotch_wire::{
+    id::Incarnation,
+    refusal::{IDEMPOTENCY_KEY, REPLAYED},
+    version::Version,
+};
+use bytes::Bytes;
+use hdrhistogram::Histogram;
+use http::{Request, StatusCode, header};
+use http_body_util::{BodyExt, Empty};
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use prometheus::Registry;
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use slog::{Discard, Logger, o};
+use std::{
+    collections::BTreeMap,
+    error::Error,
+    net::{Ipv4Addr, SocketAddr},
+    sync::Arc,
+    time::{Duration, Instant},
+};
+use tokio::{
+    net::TcpStream,
+    task::JoinSet,
+    time::{sleep, timeout},
+};
+use tokio_util::sync::CancellationToken;
+
+type Result<T, E = Box<dyn Error + Send + Sync>> = std::result::Result<T, E>;
+
+/// Numbers of concurrent requests that are measured.
+const CONCURRENCY: [usize; 2] = [1, 16];
+/// Requests of each kind in one round.
+const ROUND: usize = 800;
+/// Rounds of each kind, in random order.
+const ROUNDS: usize = 10;
+/// Longest time for one request.
+const PATIENCE: Duration = Duration::from_secs(5);
+/// Longest time for the whole run.
+const RUN: Duration = Duration::from_mins(2);
+/// Largest latency in nanoseconds that a histogram holds.
+const LARGEST: u64 = 10_000_000_000;
+/// Table writes per second, so many that the budget refuses nothing.
+const WRITES_PER_SECOND: f64 = 1e9;
+/// Key of the requests.
+const KEY: &str = "benchmark";
+
+#[tokio::main]
+async fn main() -> Result<()> {
+    let seed = std::env::args()
+        .nth(1)
+        .map_or(Ok(1), |text| text.parse::<u64>())?;
+    println!("seed {seed}");
+    timeout(RUN, measure(seed)).await?
+}
+
+async fn measure(seed: u64) -> Result<()> {
+    let behaviour = Behaviour {
+        slots: 1024,
+        ..Behaviour::default()
+    };
+    let backend = Server::start(behaviour).await?;
+    let table = platform::Server::start(seed).await?;
+    let stop = CancellationToken::new();
+    let (gateway, rows) = start(backend.address(), table.address(), &stop).await?;
+    // The budgets start empty.
+    sleep(Duration::from_millis(100)).await;
+    let mut random = SmallRng::seed_from_u64(seed);
+    println!(
+        "concurrency  without p50/p99 us  with p50/p99 us  ratio p50/p99  added p50/p99 us  writes"
+    );
+    for concurrency in CONCURRENCY {
+        let mut without = Histogram::<u64>::new_with_bounds(1, LARGEST, 3)?;
+        let mut with = without.clone();
+        // One unmeasured round of each kind opens connections and fills caches.
+        round(gateway, concurrency, None).await?;
+        round(gateway, concurrency, Some(random.random())).await?;
+        rows.drain(PATIENCE).await;
+        let before = table.counters().table;
+        for _ in 0..ROUNDS {
+            let first = random.random::<bool>();
+            for keyed in [first, !first] {
+                let number = keyed.then(|| random.random());
+                let part = round(gateway, concurrency, number).await?;
+                rows.drain(PATIENCE).await;
+                if keyed { &mut with } else { &mut without }.add(part)?;
+            }
+        }
+        let after = table.counters().table;
+        let writes = (after.writes - before.writes) as f64 / with.len() as f64;
+        report(concurrency, &without, &with, writes);
+    }
+    stop.cancel();
+    Ok(())
+}
+
+fn report(concurrency: usize, without: &Histogram<u64>, with: &Histogram<u64>, writes: f64) {
+    let micros = |histogram: &Histogram<u64>, q| histogram.value_at_quantile(q) as f64 / 1_000.0;
+    let [a50, a99] = [0.5, 0.99].map(|q| micros(without, q));
+    let [b50, b99] = [0.5, 0.99].map(|q| micros(with, q));
+    println!(
+        "{concurrency:>11}  {a50:>9.1} {a99:>8.1}  {b50:>7.1} {b99:>7.1}  {:>6.2} {:>6.2}  {:>8.1} {:>7.1}  {writes:>6.3}",
+        b50 / a50,
+        b99 / a99,
+        b50 - a50,
+        b99 - a99,
+    );
+}
+
+/// Sends [`ROUND`] requests over `concurrency` connections and returns their latencies.
+///
+/// The requests carry distinct idempotency keys if the round has a `number`.
+async fn round(
+    address: SocketAddr,
+    concurrency: usize,
+    number: Option<u64>,
+) -> Result<Histogram<u64>> {
+    let mut tasks = JoinSet::new();
+    for index in 0..concurrency {
+        let prefix = number.map(|number| format!("{number:x}-{index}"));
+        tasks.spawn(caller(address, ROUND / concurrency, prefix));
+    }
+    let mut all = Histogram::new_with_bounds(1, LARGEST, 3)?;
+    while let Some(part) = tasks.join_next().await {
+        all.add(part??)?;
+    }
+    Ok(all)
+}
+
+async fn caller(
+    address: SocketAddr,
+    requests: usize,
+    prefix: Option<String>,
+) -> Result<Histogram<u64>> {
+    let stream = TcpStream::connect(address).await?;
+    stream.set_nodelay(true)?;
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+    let task = tokio::spawn(connection);
+    let mut latencies = Histogram::new_with_bounds(1, LARGEST, 3)?;
+    for number in 0..requests {
+        let mut request = Request::post("/write/bytes/512")
+            .header(header::HOST, "h")
+            .header(header::AUTHORIZATION, format!("Bearer {KEY}"));
+        if let Some(prefix) = &prefix {
+            request = request.header(IDEMPOTENCY_KEY, format!("{prefix}-{number}"));
+        }
+        let request = request.body(Empty::<Bytes>::new())?;
+        let started = Instant::now();
+        let exchange = async {
+            sender.ready().await?;
+            let response = sender.send_request(request).await?;
+            let replayed = response.headers().contains_key(REPLAYED);
+            let status = response.status();
+            response.into_body().collect().await?;
+            hyper::Result::Ok((status, replayed))
+        };
+        let answer = timeout(PATIENCE, exchange).await??;
+        latencies.record(u64::try_from(started.elapsed().as_nanos())?)?;
+        if answer != (StatusCode::OK, false) {
+            return Err(format!("request answered with {answer:?}").into());
+        }
+    }
+    task.abort();
+    Ok(latencies)
+}
+
+async fn start(
+    backend: SocketAddr,
+    table: SocketAddr,
+    stop: &CancellationToken,
+) -> Result<(SocketAddr, Arc<Rows>)> {
+    let clock = Arc::new(Monotonic::new());
+    let host = "n1".into();
+    let table = Arc::new(Client::new(table));
+    let rows = Rows::new(host, table, Arc::clone(&clock) as _);
+    let rows = Arc::new(rows.with_writes_per_second(WRITES_PER_SECOND));
+    let gateway = Gateway::new(
+        &"n1".into(),
+        Incarnation(1),
+        "lisboa".into(),
+        clock,
+        &Registry::new(),
+    )?;
+    let gateway = Arc::new(gateway.with_records(Arc::clone(&rows) as _));
+    gateway.adopt(Arc::new(snapshot(backend)));
+    let address = (Ipv4Addr::LOCALHOST, 0).into();
+    let listener = Listener::bind(address, gateway, Logger::root(Discard, o!())).await?;
+    let address = listener.address();
+    tokio::spawn(listener.run(stop.clone()));
+    Ok((address, rows))
+}
+
+fn snapshot(backend: SocketAddr) -> Snapshot {
+    let route = Route {
+        service: "main".into(),
+        prefix: "/write".to_owned(),
+        methods: vec!["POST".to_owned()],
+        access: Access::Keyed,
+        idempotent: false,
+        timeout: PATIENCE,
+        body_limit: 0,
+    };
+    let contract = Contract {
+        rate: 1e9,
+        burst: 1e9,
+        concurrency: 1024,
+        regional_share: BTreeMap::new(),
+        version_share_step: 0.1,
+        version_step_interval: PATIENCE,
+        latency: PATIENCE,
+        refusals: 0.01,
+        isolation_limit: PATIENCE,
+    };
+    let server = Entry {
+        service: "main".into(),
+        release: "1".into(),
+        data_centre: "lisboa".into(),
+        address: backend,
+        slots: 1024,
+        connections: 1024,
+    };
+    let key = Key {
+        workspace: "correios".into(),
+        name: "first".to_owned(),
+        withdrawn: false,
+    };
+    Snapshot {
+        version: Version {
+            epoch: 1,
+            number: 1,
+        },
+        document: Document {
+            fleet: Fleet {
+                slots: 1,
+                ..Fleet::default()
+            },
+            services: BTreeMap::from([("main".into(), "1".into())]),
+            servers: BTreeMap::from([("s1".into(), server)]),
+            routes: BTreeMap::from([("write".into(), route)]),
+            workspaces: BTreeMap::from([("correios".into(), contract)]),
+            ..Document::default()
+        },
+        keys: BTreeMap::from([(access::hash(KEY.as_bytes()), key)]),
+        ..Snapshot::default()
+    }
+}
