--- a/crates/daemon/src/process/daemon.rs
+++ b/crates/daemon/src/process/daemon.rs
@@ -13,6 +13,7 @@
         peer_api::PeerApi,
         peers,
         recorder::Recorder,
+        records::Rows,
         serve::{Handler, serve},
         transport::{Http, Transport},
         versions::Versions,
@@ -25,7 +26,12 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use azurenotch_config::{change::Change, setting::Setting};
 use azurenotch_platform::{Roster, Store, Table};
-use azurenotch_wire::{event::Kind, evidence::Report, id::Incarnation, version::Version};
+use azurenotch_wire::{
+    event::Kind,
+    evidence::Report,
+    id::{Host, Incarnation},
+    version::Version,
+};
 use parking_lot::Mutex;
 use prometheus::Registry;
 use rand::random;
@@ -45,6 +51,9 @@
 /// heartbeats, because the announcement itself may be lost.
 const ANNOUNCED: Duration = Duration::from_secs(1);
 
+/// Longest time for the last records of requests with an idempotency key to be written.
+const RECORDS_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// Longest time for a change to be accepted.
 const CHANGE_TIMEOUT: Duration = Duration::from_secs(15);
 
@@ -155,8 +164,7 @@
         let registry = Registry::new();
         let incarnation = incarnation(parts.clock.wall_ms());
         let (decisions, faults) = Decisions::new(&setting, &parts.clock);
-        let gateway =
-            decisions.gateway(&setting, incarnation, &parts.clock, &registry, log.clone())?;
+        let gateway = decisions.gateway(&setting, incarnation, &parts, &registry, &log)?;
         let own = &setting.host;
         let callers = Listener::bind(own.listen, Arc::clone(&gateway), log.clone())
             .await
@@ -287,6 +295,7 @@
         if let Err(error) = self.callers.await {
             warn!(log, "daemon: port for callers failed"; "error" => %error);
         }
+        self.node.gateway.records.drain(RECORDS_TIMEOUT).await;
         self.actors.release().await;
         self.node.recorder.record(Kind::Stopped);
         self.actors.stop();
@@ -337,12 +346,12 @@
         &self,
         setting: &Setting,
         incarnation: Incarnation,
-        clock: &Arc<dyn Clock>,
+        parts: &Parts,
         registry: &Registry,
-        log: Logger,
+        log: &Logger,
     ) -> Result<Arc<Gateway>> {
         let own = &setting.host;
-        let clock = Arc::clone(clock);
+        let clock = Arc::clone(&parts.clock);
         let gateway = Gateway::new(
             &own.name,
             incarnation,
@@ -357,7 +366,8 @@
         .with_shift(Arc::clone(&self.versions) as _)
         .with_caller_stall(setting.limits.body_idle_timeout)
         .with_waiting(setting.limits.queue as usize)
-        .with_log(log);
+        .with_records(records(own.name.clone(), parts, log))
+        .with_log(log.clone());
         Ok(Arc::new(gateway))
     }
 }
@@ -371,6 +381,12 @@
     Incarnation((wall_ms << RANDOM_BITS) | random)
 }
 
+/// Returns the records of requests with an idempotency key.
+fn records(host: Host, parts: &Parts, log: &Logger) -> Arc<Rows> {
+    let rows = Rows::new(host, Arc::clone(&parts.table), Arc::clone(&parts.clock));
+    Arc::new(rows.with_log(log.clone()))
+}
+
 async fn bind(purpose: &'static str, address: SocketAddr) -> Result<TcpListener> {
     TcpListener::bind(address)
         .await
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -2,12 +2,14 @@
 
 #![allow(
     dead_code,
+    unused_imports,
     reason = "each test program uses a part of the shared support"
 )]
 
 mod backend;
 mod caller;
 mod head;
+pub mod world;
 
 pub use backend::{Backend, Reply};
 pub use caller::{Answer, Caller};
@@ -203,6 +205,7 @@
             ]),
             workspaces: BTreeMap::from([
                 ("correios".into(), contract(1e9, 1000)),
+                ("oficina".into(), contract(1e9, 1000)),
                 ("no-rate".into(), contract(0.0, 1000)),
                 ("no-concurrency".into(), contract(1e9, 0)),
             ]),
@@ -210,6 +213,7 @@
         },
         keys: BTreeMap::from([
             (KeyHash::of(KEY.as_bytes()), key("correios", withdrawn)),
+            (KeyHash::of(b"other-key"), key("oficina", false)),
             (KeyHash::of(b"old-key"), key("correios", true)),
             (KeyHash::of(b"slow-key"), key("no-rate", false)),
             (KeyHash::of(b"narrow-key"), key("no-concurrency", false)),
