fix(daemon): let a repeat run after the backend server shed the request

Cause: a 503 with retry-after was stored as the answer and replayed for 24 h, so a caller that repeats with the same key, as it should, never got its booking. Change: a shed request did not run; its record is deleted. Measured: new case in tests/once.rs passes; it was not run against the old code.

--- a/crates/daemon/src/request/attempt.rs
+++ b/crates/daemon/src/request/attempt.rs
@@ -353,7 +353,7 @@
 }
 
 /// Returns whether a backend server declined the request because of its load.
-pub(crate) fn is_shed(response: &Response<Incoming>) -> bool {
+pub(crate) fn is_shed<B>(response: &Response<B>) -> bool {
     response.status() == StatusCode::SERVICE_UNAVAILABLE
         && response.headers().contains_key(http::header::RETRY_AFTER)
 }
--- a/crates/daemon/src/request/repeat.rs
+++ b/crates/daemon/src/request/repeat.rs
@@ -1,6 +1,7 @@
 //! Keeps a request with an idempotency key from running twice.
 
 use crate::request::{
+    attempt::is_shed,
     body::Body,
     gateway::{Gateway, Held, Result},
     head::idempotency_key,
@@ -68,7 +69,7 @@
 /// How a run ended.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum End {
-    /// No byte of the request was sent to a backend server; a repeat may run.
+    /// No backend server ran the request; a repeat may run.
     NotRun,
     /// The request may have run, and its answer cannot be given again.
     Unknown,
@@ -119,6 +120,11 @@
             return result;
         }
         match result {
+            // A backend server that sheds a request does not run it, so a repeat may.
+            Ok(response) if is_shed(&response) => {
+                self.end(End::NotRun);
+                Ok(response)
+            }
             Ok(response) => Ok(Kept::wrap(response, self)),
             Err(refusal) => {
                 self.end(match refusal.outcome {
--- a/crates/daemon/tests/once.rs
+++ b/crates/daemon/tests/once.rs
@@ -95,6 +95,13 @@
     during: |it| it.table(Fault { lose_answers: 1, ..Fault::default() }),
     ..Case::default()
 }; "answer of the end lost")]
+#[test_case(Case {
+    before: |it| it.server.change(|behaviour| behaviour.slots = 0),
+    between: |it| it.server.change(|behaviour| behaviour.slots = 9),
+    pause: SETTLED,
+    words: ["503", "200"],
+    ..Case::default()
+}; "backend server sheds the request")]
 #[test_case(Case {
     before: |it| it.server.mode_for(Mode::Hangup, 1),
     words: ["unknown lost-server", "unknown outcome-lost"],
