--- a/crates/daemon/src/process/actors.rs
+++ b/crates/daemon/src/process/actors.rs
@@ -8,11 +8,12 @@
     peers, planner, role, slot,
     versions::Versions,
 };
-use azurenotch_wire::evidence::Report;
+use azurenotch_wire::{event::Kind, evidence::Report};
+use parking_lot::Mutex;
 use ractor::{Actor, ActorRef};
 use rand::random;
 use snafu::ResultExt;
-use std::{sync::Arc, time::Duration};
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
 use tokio::sync::mpsc::UnboundedReceiver;
 
 /// Longest time for each step of giving up shares, slot and roles.
@@ -125,7 +126,14 @@
 ) -> configuration::Listener {
     let (node, hosts, versions) = (Arc::clone(node), Arc::clone(hosts), Arc::clone(versions));
     let budget = budget.clone();
+    let drains = Mutex::new(BTreeSet::new());
     Box::new(move |snapshot| {
+        let before = std::mem::replace(&mut *drains.lock(), snapshot.drains.clone());
+        for server in before.symmetric_difference(&snapshot.drains) {
+            let draining = snapshot.drains.contains(server);
+            let server = server.clone();
+            node.recorder.record(Kind::Draining { server, draining });
+        }
         let others = u32::try_from(node.peers.load().len()).unwrap_or(u32::MAX);
         for event in versions.adopt(&snapshot, others.saturating_add(1), node.clock.wall_ms()) {
             node.recorder.record(event);
--- a/crates/daemon/src/process/peers.rs
+++ b/crates/daemon/src/process/peers.rs
@@ -139,6 +139,9 @@
         self.node.evidence.update(|evidence| evidence.tick(now));
         let events = self.membership.tick(now);
         self.record(events);
+        for event in self.node.gateway.journal().take() {
+            self.node.recorder.record(event);
+        }
         if self.rounds.is_multiple_of(ROSTER_ROUNDS) {
             self.read_roster(myself);
         }
--- a/crates/daemon/src/request/gateway.rs
+++ b/crates/daemon/src/request/gateway.rs
@@ -9,6 +9,7 @@
         forward::{self, Job},
         freshness::{Always, Freshness},
         head::timeout,
+        journal::Journal,
         metrics::{Metrics, Unit},
         refuse,
         repeat::{Records, Start, Unavailable},
@@ -82,6 +83,7 @@
     pub(crate) shift: Arc<dyn Shift>,
     pub(crate) records: Arc<dyn Records>,
     pub(crate) metrics: Metrics,
+    journal: Arc<Journal>,
     pub(crate) retry: Mutex<Retry>,
 }
 
@@ -133,6 +135,7 @@
             shift: Arc::new(Settled),
             records: Arc::new(Unavailable),
             metrics: Metrics::new(registry)?,
+            journal: Arc::default(),
             retry: Mutex::default(),
         })
     }
@@ -215,6 +218,7 @@
             &self.here,
             previous.as_deref(),
             self.waiting,
+            &self.journal,
             self.seed,
         ));
         self.current.store(Some(Arc::clone(&current)));
@@ -255,6 +259,11 @@
         self.stopping.load(Ordering::Relaxed)
     }
 
+    /// Returns what has happened for the time line.
+    pub fn journal(&self) -> &Journal {
+        &self.journal
+    }
+
     /// Returns the number of requests that have not ended.
     pub fn in_flight(&self) -> u32 {
         u32::try_from(self.metrics.in_flight.get()).unwrap_or_default()
@@ -318,6 +327,7 @@
         }
         let route = label.route.as_ref().map_or("", |name| name.as_str());
         self.metrics.refused(route, &refusal);
+        self.journal.refused(&refusal);
         refuse::answer(&refusal, self.directory.alternatives(client))
     }
 
--- a/crates/daemon/src/request/mod.rs
+++ b/crates/daemon/src/request/mod.rs
@@ -9,6 +9,7 @@
 pub mod freshness;
 pub mod gateway;
 mod head;
+pub mod journal;
 mod keep;
 pub mod metrics;
 pub mod refuse;
--- a/crates/daemon/src/version/current.rs
+++ b/crates/daemon/src/version/current.rs
@@ -1,16 +1,20 @@
 //! What one configuration version gives a request.
 
-use crate::{connection::pool::Pool, request::clock::Clock};
+use crate::{
+    connection::pool::Pool,
+    request::{clock::Clock, journal::Journal},
+};
 use azurenotch_config::{
     document::{Document, Server},
     snapshot::Snapshot,
 };
 use azurenotch_core::{
     request::access::Access,
-    version::balance::{Balance, Candidate, Query, Tier, Verdict},
+    version::balance::{Balance, Candidate, Query, Shift, Tier, Verdict},
 };
 use azurenotch_wire::{
     Map,
+    event::Kind,
     id::{DataCentre, Release, Server as Name, Service},
     time::Instant,
 };
@@ -37,6 +41,7 @@
     /// Tells the request that has waited longest that an attempt ended.
     freed: Notify,
     waiting: Semaphore,
+    journal: Arc<Journal>,
 }
 
 /// A running attempt at a backend server, counted until it is dropped.
@@ -58,6 +63,7 @@
         here: &DataCentre,
         previous: Option<&Self>,
         waiting: usize,
+        journal: &Arc<Journal>,
         seed: u64,
     ) -> Self {
         let document = &snapshot.document;
@@ -76,7 +82,7 @@
             .into_iter()
             .map(|(service, candidates)| {
                 let known = previous.and_then(|it| it.groups.get(&service));
-                let group = Group::new(now, &candidates, known, waiting, seed);
+                let group = Group::new(now, &candidates, known, waiting, journal, seed);
                 (service, group)
             })
             .collect();
@@ -132,6 +138,7 @@
         candidates: &[Candidate],
         known: Option<&Arc<Self>>,
         waiting: usize,
+        journal: &Arc<Journal>,
         seed: u64,
     ) -> Arc<Self> {
         if let Some(known) = known {
@@ -142,6 +149,7 @@
             balance: Mutex::new(Balance::new(candidates, seed)),
             freed: Notify::new(),
             waiting: Semaphore::new(waiting),
+            journal: Arc::clone(journal),
         })
     }
 
@@ -213,8 +221,14 @@
         let unknown = (Instant::ZERO, Verdict::Abandoned, Duration::ZERO);
         let (now, verdict, latency) = self.ended.unwrap_or(unknown);
         let mut balance = self.group.balance.lock();
-        balance.end(self.index, now, verdict, latency);
+        let shift = balance.end(self.index, now, verdict, latency);
         drop(balance);
+        let server = self.server.clone();
+        match shift {
+            None => {}
+            Some(Shift::Ejected) => self.group.journal.record(Kind::Ejected { server }),
+            Some(Shift::Restored) => self.group.journal.record(Kind::Restored { server }),
+        }
         self.group.freed.notify_one();
     }
 }
--- a/crates/daemon/tests/control.rs
+++ b/crates/daemon/tests/control.rs
@@ -5,7 +5,11 @@
 use azurenotch_config::{change::Change, snapshot::KeyHash};
 use azurenotch_daemon::process::{budget::ROLE, change::Error};
 use azurenotch_test_support::fault::{Endpoint, Fault};
-use azurenotch_wire::version::Version;
+use azurenotch_wire::{
+    event::Kind,
+    refusal::{Reason, Refusal},
+    version::Version,
+};
 use fleet::{DOCUMENT, Fleet, LIMIT, wait};
 use std::time::Duration;
 use test_case::test_case;
@@ -323,3 +327,30 @@
         "h4 knows again"
     );
 }
+
+/// Guards against decisions that the time line does not show.
+#[tokio::test(start_paused = true)]
+async fn the_time_line_shows_refusals_and_drains() {
+    let fleet = Fleet::configured(2).await;
+    let drain = Change::Drain {
+        server: "s1".into(),
+        draining: true,
+    };
+    let version = fleet.daemons["h1"].change(drain).await.expect("accepted");
+    assert!(fleet.in_force(version, IN_FORCE).await);
+    let node = fleet.daemons["h2"].node();
+    node.gateway
+        .journal()
+        .refused(&Refusal::not_run(Reason::Rate).workspace("hoteis".into()));
+    let shown = |wanted: &dyn Fn(&Kind) -> bool| {
+        node.recorder
+            .after(0)
+            .events
+            .iter()
+            .any(|event| wanted(&event.kind))
+    };
+    let drained = |kind: &Kind| matches!(kind, Kind::Draining { draining: true, .. });
+    assert!(shown(&drained));
+    let refused = |kind: &Kind| matches!(kind, Kind::Refused { count: 1, .. });
+    assert!(wait(Duration::from_secs(3), || shown(&refused)).await);
+}
--- a/crates/wire/src/refusal.rs
+++ b/crates/wire/src/refusal.rs
@@ -26,7 +26,9 @@
 pub const REPLAYED: HeaderName = HeaderName::from_static("azurenotch-replayed");
 
 /// Whether a refused request may have been run by a backend server.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display, Serialize, Deserialize)]
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Display, Serialize, Deserialize,
+)]
 #[serde(rename_all = "kebab-case")]
 pub enum Outcome {
     /// No backend server ran the request or any part of it.
