--- a/crates/daemon/examples/rolling/fleet.rs
+++ b/crates/daemon/examples/rolling/fleet.rs
@@ -18,6 +18,7 @@
 use std::{
     collections::BTreeMap,
     error::Error,
+    fmt::Write,
     net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
@@ -81,10 +82,10 @@
     async fn start(
         name: &str,
         data_centre: &str,
-        ports: [SocketAddr; 3],
+        addresses: [SocketAddr; 3],
         platform: SocketAddr,
     ) -> Result<Self> {
-        let [listen, peer, operator] = ports;
+        let [listen, peer, operator] = addresses;
         let settings = format!(
             "[host]\nname = {name}\ndata-centre = {data_centre}\nlisten = {listen}\n\
              peer = {peer}\noperator = {operator}\n[platform]\ntable = http://{platform}\n\
@@ -182,12 +183,13 @@
                 };
                 let server = backend::Server::start(behaviour).await?;
                 let name = format!("consulta-{data_centre}-{number}");
-                document.push_str(&format!(
+                let _ = write!(
+                    document,
                     "\n[server {name}]\nservice = consulta\nversion = 1\n\
                      data-centre = {data_centre}-1\naddress = {}\nslots = {SLOTS}\n\
                      connections = 390\n",
                     server.address()
-                ));
+                );
                 servers.insert(name, server);
             }
         }
@@ -198,8 +200,8 @@
             document,
         };
         for (number, (name, data_centre)) in (11..).zip(HOSTS) {
-            let ports = [SocketAddr::from(([127, 0, 0, number], 0)); 3];
-            fleet.add(name, data_centre, ports).await?;
+            let addresses = [SocketAddr::from(([127, 0, 0, number], 0)); 3];
+            fleet.add(name, data_centre, addresses).await?;
         }
         Ok(fleet)
     }
@@ -209,9 +211,9 @@
         &mut self,
         name: &'static str,
         data_centre: &str,
-        ports: [SocketAddr; 3],
+        addresses: [SocketAddr; 3],
     ) -> Result<()> {
-        let host = Host::start(name, data_centre, ports, self.platform.address()).await?;
+        let host = Host::start(name, data_centre, addresses, self.platform.address()).await?;
         self.hosts.insert(name, host);
         self.publish();
         Ok(())
--- a/crates/daemon/src/process/daemon.rs
+++ b/crates/daemon/src/process/daemon.rs
@@ -231,30 +231,7 @@
         node.recorder.record(Kind::Started { incarnation });
         let actors = Actors::spawn(&node, &hosts, fleet, Arc::clone(&versions), faults).await?;
         let stop = CancellationToken::new();
-        let peer_api = Arc::new(PeerApi {
-            node: Arc::clone(&node),
-            peers: actors.peers.clone(),
-            budget: actors.budget.clone(),
-            planner: actors.planner.clone(),
-        });
-        tokio::spawn(serve(
-            peer_port,
-            Arc::clone(&peer_api) as _,
-            stop.clone(),
-            log.clone(),
-        ));
-        let operator_api = OperatorApi {
-            node: Arc::clone(&node),
-            registry,
-            configuration: actors.configuration.clone(),
-            peers: actors.peers.clone(),
-        };
-        tokio::spawn(serve(
-            operator_port,
-            Arc::new(operator_api),
-            stop.clone(),
-            log.clone(),
-        ));
+        let peer_api = serve_control(&node, registry, &actors, (peer_port, operator_port), &stop);
         let stop_callers = CancellationToken::new();
         let callers = tokio::spawn(callers.run(stop_callers.clone()));
         info!(log, "daemon: serving"; "callers" => %node.setting.host.listen,
@@ -422,6 +399,41 @@
     }
 }
 
+/// Serves the ports for hosts and operators until `stop` is cancelled.
+fn serve_control(
+    node: &Arc<Node>,
+    registry: Registry,
+    actors: &Actors,
+    (peer_port, operator_port): (TcpListener, TcpListener),
+    stop: &CancellationToken,
+) -> Arc<PeerApi> {
+    let peer_api = Arc::new(PeerApi {
+        node: Arc::clone(node),
+        peers: actors.peers.clone(),
+        budget: actors.budget.clone(),
+        planner: actors.planner.clone(),
+    });
+    tokio::spawn(serve(
+        peer_port,
+        Arc::clone(&peer_api) as _,
+        stop.clone(),
+        node.log.clone(),
+    ));
+    let operator_api = OperatorApi {
+        node: Arc::clone(node),
+        registry,
+        configuration: actors.configuration.clone(),
+        peers: actors.peers.clone(),
+    };
+    tokio::spawn(serve(
+        operator_port,
+        Arc::new(operator_api),
+        stop.clone(),
+        node.log.clone(),
+    ));
+    peer_api
+}
+
 /// Returns a number above that of every earlier process of this host.
 ///
 /// The random part tells apart processes that start within the same millisecond.
--- a/crates/daemon/tests/moves.rs
+++ b/crates/daemon/tests/moves.rs
@@ -25,7 +25,7 @@
 /// Pause between two rounds of requests.
 const STEP: Duration = Duration::from_millis(1_000 / RATE as u64);
 /// Time for the move: four steps of 2 s for the pace and the same again to judge and settle.
-const DEADLINE: Duration = Duration::from_secs(60);
+const DEADLINE: Duration = Duration::from_mins(1);
 /// Time after a fault notice in which hosts still may use the new version.
 const SOON: Duration = Duration::from_secs(1);
 /// Latency of the running version.
@@ -139,13 +139,6 @@
         while self.state() == MoveState::Running && time::Instant::now() < end {
             self.load(STEP).await;
         }
-        let snapshot = self
-            .fleet
-            .daemons
-            .values()
-            .next()
-            .and_then(|it| it.node().snapshot());
-        println!("{:?}", snapshot.map(|it| it.moves.clone()));
         self.state()
     }
 
