fix(daemon): bound the wait of a starting host for its share to 4 s

Cause: in a fleet that starts idle, hosts waited for three empty grants, and look-ups named all four hosts of examples/demo only after more than its 5 s. Change: a host serves 4 s after its first configuration at the latest, and at its first grant if no other host serves. Example rolling was not run again for docs/MEASUREMENTS.md.

--- a/crates/daemon/src/process/budget.rs
+++ b/crates/daemon/src/process/budget.rs
@@ -32,7 +32,7 @@
 const GRANTS_IDLE: u32 = 3;
 /// Longest time that a host with a configuration waits for its share, for example because the
 /// platform is down. Open routes and look-ups need none.
-const SHARE_WAIT: Duration = Duration::from_secs(10);
+const SHARE_WAIT: Duration = Duration::from_secs(4);
 /// Change of a share, relative to itself, that is worth an event.
 const EVENT_CHANGE: f64 = 0.2;
 
@@ -387,7 +387,9 @@
         {
             self.fleet.grant(now, grant, until);
             self.grants = self.grants.saturating_add(1);
-            if !grant.capacity.is_empty() || self.grants >= GRANTS_IDLE {
+            // Without another host that serves, waiting for a share helps no caller.
+            let is_first = !self.node.peers.load().iter().any(|peer| peer.serving);
+            if is_first || !grant.capacity.is_empty() || self.grants >= GRANTS_IDLE {
                 self.node.set_serving();
             }
         }
