--- a/crates/daemon/src/process/daemon.rs
+++ b/crates/daemon/src/process/daemon.rs
@@ -14,7 +14,7 @@
         peers,
         recorder::Recorder,
         records::Rows,
-        serve::{Handler, serve},
+        serve::serve,
         transport::{Http, Transport},
         versions::Versions,
     },
@@ -204,25 +204,7 @@
         node.recorder.record(Kind::Started { incarnation });
         let actors = Actors::spawn(&node, &decisions, faults).await?;
         let stop = CancellationToken::new();
-        let peer_api = Arc::new(PeerApi {
-            node: Arc::clone(&node),
-            peers: actors.peers.clone(),
-            budget: actors.budget.clone(),
-            planner: actors.planner.clone(),
-        });
-        let operator_api = Arc::new(OperatorApi {
-            node: Arc::clone(&node),
-            registry,
-            configuration: actors.configuration.clone(),
-            peers: actors.peers.clone(),
-        });
-        let interfaces = [
-            (peer_port, Arc::clone(&peer_api) as Arc<dyn Handler>),
-            (operator_port, operator_api),
-        ];
-        for (port, handler) in interfaces {
-            tokio::spawn(serve(port, handler, stop.clone(), log.clone()));
-        }
+        let peer_api = serve_control(&node, registry, &actors, (peer_port, operator_port), &stop);
         let stop_callers = CancellationToken::new();
         let callers = tokio::spawn(callers.run(stop_callers.clone()));
         info!(log, "daemon: serving"; "callers" => %node.setting.host.listen,
@@ -372,6 +354,41 @@
     }
 }
 
+/// Serves the ports for hosts and operators until `stop` is cancelled.
+fn serve_control(
+    node: &Arc<Node>,
+    registry: Registry,
+    actors: &Actors,
+    (peer_port, operator_port): (TcpListener, TcpListener),
+    stop: &CancellationToken,
+) -> Arc<PeerApi> {
+    let peer_api = Arc::new(PeerApi {
+        node: Arc::clone(node),
+        peers: actors.peers.clone(),
+        budget: actors.budget.clone(),
+        planner: actors.planner.clone(),
+    });
+    tokio::spawn(serve(
+        peer_port,
+        Arc::clone(&peer_api) as _,
+        stop.clone(),
+        node.log.clone(),
+    ));
+    let operator_api = OperatorApi {
+        node: Arc::clone(node),
+        registry,
+        configuration: actors.configuration.clone(),
+        peers: actors.peers.clone(),
+    };
+    tokio::spawn(serve(
+        operator_port,
+        Arc::new(operator_api),
+        stop.clone(),
+        node.log.clone(),
+    ));
+    peer_api
+}
+
 /// Returns a number above that of every earlier process of this host.
 ///
 /// The random part tells apart processes that start within the same millisecond.
