--- a/crates/daemon/src/process/actors.rs
+++ b/crates/daemon/src/process/actors.rs
@@ -71,6 +71,7 @@
             versions: Arc::clone(versions),
             faults,
             configuration: configuration.clone(),
+            peers: peers.clone(),
         };
         let (planner, _) = Actor::spawn(None, planner::Planner, arguments)
             .await
--- a/crates/daemon/src/process/peers.rs
+++ b/crates/daemon/src/process/peers.rs
@@ -142,7 +142,9 @@
         for event in self.node.gateway.journal().take() {
             self.node.recorder.record(event);
         }
-        if self.rounds.is_multiple_of(ROSTER_ROUNDS) {
+        // A host that knows nobody yet does not wait for its turn to read the lagging list again.
+        let is_alone = self.membership.members().next().is_none();
+        if is_alone || self.rounds.is_multiple_of(ROSTER_ROUNDS) {
             self.read_roster(myself);
         }
         self.rounds += 1;
--- a/crates/daemon/src/process/planner.rs
+++ b/crates/daemon/src/process/planner.rs
@@ -3,7 +3,7 @@
 use crate::process::{
     configuration,
     node::{Node, Peer},
-    role,
+    peers, role,
     transport::{self, Transport},
     versions::Versions,
 };
@@ -55,6 +55,8 @@
     pub faults: UnboundedReceiver<Report>,
     /// Actor that accepts changes.
     pub configuration: ActorRef<configuration::Message>,
+    /// Actor that announces an accepted change at once.
+    pub peers: ActorRef<peers::Message>,
 }
 
 /// State of the actor.
@@ -63,6 +65,7 @@
     node: Arc<Node>,
     versions: Arc<Versions>,
     configuration: ActorRef<configuration::Message>,
+    peers: ActorRef<peers::Message>,
     machine: Machine,
     /// Token of the lease and the end of its validity.
     held: Option<(u64, Instant)>,
@@ -83,6 +86,7 @@
             versions,
             mut faults,
             configuration,
+            peers,
         } = arguments;
         drop(myself.send_interval(INTERVAL, || Message::Round));
         tokio::spawn(async move {
@@ -96,6 +100,7 @@
             node,
             versions,
             configuration,
+            peers,
             machine: Machine::new(),
             held: None,
         })
@@ -216,14 +221,17 @@
 
     fn ask(&self, change: Change, fence: Fence) {
         let configuration = self.configuration.clone();
+        let peers = self.peers.clone();
         let log = self.node.log.clone();
         tokio::spawn(async move {
             let text = change.describe().to_string();
             let outcome =
                 configuration::request(&configuration, change, Some(fence), CHANGE_TIMEOUT).await;
-            if let Err(error) = outcome {
-                info!(log, "planner: change was not accepted";
-                    "change" => text, "reason" => %error);
+            match outcome {
+                // Without the announcement a fault would reach the others a round later.
+                Ok(_) => drop(peers.send_message(peers::Message::Announce)),
+                Err(error) => info!(log, "planner: change was not accepted";
+                    "change" => text, "reason" => %error),
             }
         });
     }
--- a/examples/demo/main.rs
+++ b/examples/demo/main.rs
@@ -216,7 +216,7 @@
 
 async fn rate(report: &mut Report, fleet: &Fleet) -> Result<()> {
     let load = Load::start(fleet.callers(), "/consulta/labels/1", HOTEIS, 2);
-    time::sleep(Duration::from_secs(3)).await;
+    time::sleep(Duration::from_secs(2)).await;
     let (tally, took) = load.stop().await;
     let bound = 20.0 + 20.0 * took.as_secs_f64();
     report.expect(
