--- a/crates/daemon/src/process/budget.rs
+++ b/crates/daemon/src/process/budget.rs
@@ -362,12 +362,12 @@
     /// Reports to the holder with the highest token that is known.
     fn report(&mut self, myself: &ActorRef<Message>, leaving: bool) {
         let own = self.ledger.as_ref().map(|ledger| (ledger.token(), None));
-        let peers = self.node.peers.load();
-        let others = peers.iter().filter_map(|peer| {
-            let role = peer.roles.iter().find(|role| role.name == ROLE)?;
-            Some((role.token, Some(peer.peer)))
-        });
-        let Some((token, address)) = others.chain(own).max_by_key(|(token, _)| *token) else {
+        let peer = self
+            .node
+            .holder(ROLE)
+            .map(|(token, peer)| (token, Some(peer)));
+        let Some((token, address)) = own.into_iter().chain(peer).max_by_key(|(token, _)| *token)
+        else {
             return;
         };
         let now = self.node.clock.now();
--- a/crates/daemon/src/process/node.rs
+++ b/crates/daemon/src/process/node.rs
@@ -116,6 +116,16 @@
             .unwrap_or_default()
     }
 
+    /// Returns the highest token under which a peer holds a role, and the peer's address.
+    pub fn holder(&self, role: &str) -> Option<(u64, SocketAddr)> {
+        let peers = self.peers.load();
+        let holders = peers.iter().filter_map(|peer| {
+            let held = peer.roles.iter().find(|held| held.name == role)?;
+            Some((held.token, peer.peer))
+        });
+        holders.max_by_key(|(token, _)| *token)
+    }
+
     /// Returns the region of the host, once the configuration names its data centre.
     pub fn region(&self) -> Option<Region> {
         let snapshot = self.snapshot()?;
--- a/crates/daemon/src/process/planner.rs
+++ b/crates/daemon/src/process/planner.rs
@@ -141,12 +141,11 @@
             .held
             .filter(|(_, until)| now < *until)
             .map(|(token, _)| (token, None));
-        let peers = self.node.peers.load();
-        let others = peers.iter().filter_map(|peer| {
-            let role = peer.roles.iter().find(|role| role.name == ROLE)?;
-            Some((role.token, Some(peer.peer)))
-        });
-        match others.chain(own).max_by_key(|(token, _)| *token) {
+        let peer = self
+            .node
+            .holder(ROLE)
+            .map(|(token, peer)| (token, Some(peer)));
+        match own.into_iter().chain(peer).max_by_key(|(token, _)| *token) {
             None => {}
             Some((_, None)) => self.on_evidence(reports),
             Some((_, Some(address))) => {
