feat(entry): bound held bodies, time headers, reload settings, keep failures in the log

Cause: bodies of requests were held whole, each up to a quarter of the memory, without a bound on their sum; a caller could take as long for a header as it may stay idle; changed settings were checked on SIGHUP only and never put in force; and a stalled reader of the log dropped lines of failures together with usual ones.

Ruled out: refusing a body when memory runs out while it is read (callers would send megabytes in vain; a known length is reserved before the first byte), and hyper's header timer (it also runs while a connection is idle).

Change: request::hold accounts for bodies of requests and whole answers, 40 % of the memory in all; what does not fit gets 503 with a time to come back and its quota token is returned. connection::head times a header from its first byte. Settings are compared once a second and on SIGHUP and put in force except for identity, listeners and descriptors, which are named. Warnings have a batch of their own that waits for the reader. The line of an answered request names the inputs of its placement, and each line its host.

--- a/crates/core/src/process/repeat.rs
+++ b/crates/core/src/process/repeat.rs
@@ -46,6 +46,14 @@
         }
     }
 
+    /// Sets the limit and keeps what was counted; a window of another length starts anew.
+    pub fn set_limit(&mut self, limit: Limit) {
+        if limit.window != self.limit.window {
+            self.parts = [Part::default(); PARTS];
+        }
+        self.limit = limit;
+    }
+
     /// Counts a new request.
     pub fn request(&mut self, now: Instant) {
         self.part(now).requests += 1;
--- a/crates/core/src/request/mod.rs
+++ b/crates/core/src/request/mod.rs
@@ -4,6 +4,7 @@
 pub mod admission;
 pub mod deadline;
 pub mod header;
+pub mod hold;
 pub mod once;
 pub mod path;
 pub mod retry;
--- a/crates/core/src/version/placement/entry.rs
+++ b/crates/core/src/version/placement/entry.rs
@@ -275,6 +275,11 @@
         }
     }
 
+    /// Returns the age of the load that the server told last, to this host or another one.
+    pub(super) fn told_age(&self, now: Instant) -> Option<Duration> {
+        self.told.map(|told| now.since(told.at))
+    }
+
     /// Returns the load if this host was told it within `age`.
     pub(super) fn told_within(&self, now: Instant, age: Duration) -> Option<Load> {
         let told = self.told.filter(|told| told.here)?;
--- a/crates/core/src/version/placement/mod.rs
+++ b/crates/core/src/version/placement/mod.rs
@@ -87,6 +87,8 @@
     pub wait: Duration,
     /// Probability that the object is warm there.
     pub warm: f64,
+    /// Age of the load that the server told last; `None` if it has told none.
+    pub told: Option<Duration>,
 }
 
 /// How an attempt ended, as far as it tells something about the backend server.
@@ -368,6 +370,7 @@
             expected: entry.rtt() + Duration::from_secs_f64(wait + work),
             wait: Duration::from_secs_f64(wait),
             warm,
+            told: entry.told_age(now),
         }
     }
 
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -3,18 +3,28 @@
 use crate::{BAD_SETTINGS, START_FAILED, chain};
 use azurenotch_adapter::{Names, Table};
 use azurenotch_entry::{
-    process::{entry::Entry, journal::Journal, state::Parts},
+    process::{
+        entry::Entry,
+        journal::Journal,
+        state::{Parts, State},
+    },
     setting::Setting,
 };
 use azurenotch_platform::clock::Boot;
-use slog::{Level, Logger, info, warn};
-use std::{fs, io, path::Path, process::ExitCode, sync::Arc};
-use tokio::signal::unix::{Signal, SignalKind, signal};
+use slog::{Level, info, o, warn};
+use std::{fs, io, path::Path, process::ExitCode, sync::Arc, time::Duration};
+use tokio::{
+    signal::unix::{Signal, SignalKind, signal},
+    time::sleep,
+};
+
+/// Time between two looks whether the settings have changed without a signal.
+const WATCH: Duration = Duration::from_secs(1);
 
 /// Serves callers until a signal asks to stop.
 pub(crate) fn main(check: bool, path: &Path) -> ExitCode {
-    let setting = match read(path) {
-        Ok(setting) => setting,
+    let (text, setting) = match read(path) {
+        Ok(read) => read,
         Err(detail) => {
             eprintln!("azurenotchd: {}: {detail}", path.display());
             return ExitCode::from(BAD_SETTINGS);
@@ -35,7 +45,7 @@
             return ExitCode::from(START_FAILED);
         }
     };
-    match runtime.block_on(run(setting, path)) {
+    match runtime.block_on(run(text, setting, path)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("azurenotchd: {}", chain(error.as_ref()));
@@ -44,12 +54,19 @@
     }
 }
 
-fn read(path: &Path) -> Result<Setting, Box<dyn std::error::Error>> {
-    Ok(Setting::parse(&fs::read_to_string(path)?)?)
+fn read(path: &Path) -> Result<(String, Setting), Box<dyn std::error::Error>> {
+    let text = fs::read_to_string(path)?;
+    let setting = Setting::parse(&text)?;
+    Ok((text, setting))
 }
 
-async fn run(setting: Setting, path: &Path) -> Result<(), Box<dyn std::error::Error>> {
+async fn run(
+    text: String,
+    setting: Setting,
+    path: &Path,
+) -> Result<(), Box<dyn std::error::Error>> {
     let (journal, log) = Journal::open(Level::Info, io::stdout())?;
+    let log = log.new(o!("host" => setting.host.name.to_string()));
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let hang_up = signal(SignalKind::hangup())?;
@@ -62,7 +79,7 @@
     let entry = Entry::start(setting, parts).await?;
     tokio::select! {
         () = journal.run() => {}
-        () = reload(hang_up, path, &log) => {}
+        () = watch(hang_up, path, text, entry.state()) => {}
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
     }
@@ -76,12 +93,35 @@
     Ok(())
 }
 
-/// Checks the settings again at each SIGHUP; what they change is in force from the next start.
-async fn reload(mut hang_up: Signal, path: &Path, log: &Logger) {
-    while hang_up.recv().await.is_some() {
-        match read(path) {
-            Ok(_) => info!(log, "settings: read again"),
-            Err(error) => warn!(log, "settings: unusable"; "error" => %error),
+/// Puts the settings in force again after each SIGHUP and whenever the file has changed.
+async fn watch(mut hang_up: Signal, path: &Path, mut last: String, state: &State) {
+    loop {
+        let signalled = tokio::select! {
+            _ = hang_up.recv() => true,
+            () = sleep(WATCH) => false,
+        };
+        let text = match fs::read_to_string(path) {
+            Ok(text) => text,
+            Err(error) if signalled => {
+                warn!(state.log(), "settings: unreadable"; "error" => %error);
+                continue;
+            }
+            // The file may be about to be replaced.
+            Err(_) => continue,
+        };
+        if text == last {
+            if signalled {
+                info!(state.log(), "settings: unchanged");
+            }
+            continue;
+        }
+        match Setting::parse(&text) {
+            Ok(setting) => {
+                let waiting = state.reload(setting).join(", ");
+                info!(state.log(), "settings: in force"; "from-next-start" => waiting);
+            }
+            Err(error) => warn!(state.log(), "settings: unusable"; "error" => %error),
         }
+        last = text;
     }
 }
--- /dev/null
+++ b/crates/daemon/tests/reload.rs
@@ -0,0 +1,109 @@
+//! Settings of a running entry host that change with and without a signal.
+
+use rustix::process::{Pid, Signal, kill_process};
+use std::{
+    fs,
+    io::{BufRead, BufReader},
+    net::TcpListener,
+    path::PathBuf,
+    process::{Child, Command, Stdio},
+    sync::mpsc::{Receiver, channel},
+    thread,
+    time::Duration,
+};
+
+/// Longest time for a line of the log; the file is looked at once a second.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+struct Host {
+    child: Child,
+    lines: Receiver<String>,
+}
+
+impl Host {
+    fn start(path: &PathBuf) -> Self {
+        let mut child = Command::new(env!("CARGO_BIN_EXE_azurenotchd"))
+            .arg("entry")
+            .arg("--settings")
+            .arg(path)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("the daemon starts");
+        let output = BufReader::new(child.stdout.take().expect("stdout is piped"));
+        let (sender, lines) = channel();
+        thread::spawn(move || {
+            for line in output.lines().map_while(Result::ok) {
+                if sender.send(line).is_err() {
+                    return;
+                }
+            }
+        });
+        Self { child, lines }
+    }
+
+    /// Waits for a line of the log that contains a text.
+    fn expect(&self, text: &str) -> String {
+        loop {
+            let line = self.lines.recv_timeout(PATIENCE);
+            let line = line.unwrap_or_else(|_| panic!("no line with {text:?}"));
+            if line.contains(text) {
+                return line;
+            }
+        }
+    }
+
+    fn hang_up(&self) {
+        let id = Pid::from_child(&self.child);
+        kill_process(id, Signal::HUP).expect("the process runs");
+    }
+}
+
+impl Drop for Host {
+    fn drop(&mut self) {
+        drop(self.child.kill());
+        drop(self.child.wait());
+    }
+}
+
+fn port() -> u16 {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    listener.local_addr().expect("a bound port").port()
+}
+
+fn settings() -> String {
+    let [callers, ready, look_ups, peers, store] = [port(), port(), port(), port(), port()];
+    format!(
+        "[host]\nname = h\ndata-centre = z\nregion = r\ncallers = 127.0.0.1:{callers}\n\
+         ready = 127.0.0.1:{ready}\nlook-ups = 127.0.0.1:{look_ups}\npeer-port = {peers}\n\
+         [data-centre z]\nregion = r\n[store]\naddress = 127.0.0.1:{store}\n\
+         [machine]\nmemory-mb = 260\ndescriptors = 1024\n[bounds]\nwithdrawal-s = 5\n"
+    )
+}
+
+#[test]
+fn changed_settings_are_in_force_without_a_restart() {
+    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("reload");
+    fs::create_dir_all(&folder).expect("the folder can be created");
+    let path = folder.join("entry.ini");
+    let text = settings();
+    fs::write(&path, &text).expect("the file can be written");
+    let host = Host::start(&path);
+    host.expect("entry: started");
+    host.hang_up();
+    host.expect("settings: unchanged");
+    // Without a signal.
+    let changed = text.replace("withdrawal-s = 5", "withdrawal-s = 3");
+    fs::write(&path, &changed).expect("the file can be written");
+    let line = host.expect("settings: in force");
+    assert!(line.contains(r#""from-next-start":"""#), "{line}");
+    // Unusable settings change nothing and are told once.
+    fs::write(&path, "[host]\ncolour = blue\n").expect("the file can be written");
+    host.expect("settings: unusable");
+    // A listener waits for the next start.
+    let moved = changed.replace("descriptors = 1024", "descriptors = 2048");
+    fs::write(&path, moved).expect("the file can be written");
+    host.hang_up();
+    let line = host.expect("settings: in force");
+    assert!(line.contains("descriptors"), "{line}");
+}
--- a/crates/entry/src/connection/mod.rs
+++ b/crates/entry/src/connection/mod.rs
@@ -1,4 +1,5 @@
 //! State that lives as long as a connection.
 
 pub mod front;
+pub mod head;
 pub mod pool;
--- a/crates/entry/src/platform.rs
+++ b/crates/entry/src/platform.rs
@@ -85,6 +85,9 @@
     /// Makes this host known to the others.
     async fn announce(&self, peer: &Peer) -> Result<()>;
 
+    /// Makes further calls to another address.
+    fn redirect(&self, address: SocketAddr);
+
     /// Removes a host that is gone.
     async fn withdraw(&self, host: &Host) -> Result<()>;
 
--- a/crates/entry/src/process/directory.rs
+++ b/crates/entry/src/process/directory.rs
@@ -109,7 +109,7 @@
     let centre = field(dialect.look_up_data_centre).map(DataCentre::from);
     let region = field(dialect.look_up_region).map(Region::from);
     let addresses = addresses(state, centre.as_ref(), region.as_ref());
-    let lifetime = LIFETIME.min(state.setting.bounds.look_up);
+    let lifetime = LIFETIME.min(state.setting().bounds.look_up);
     let (body, kind) = state.parts.format.look_up(&addresses, lifetime);
     let mut response = Response::new(Full::new(body.into()));
     let kind = HeaderValue::from_static(kind);
--- a/crates/entry/src/process/entry.rs
+++ b/crates/entry/src/process/entry.rs
@@ -82,7 +82,8 @@
         };
         let state = State::new(setting, own, parts).context(CountersSnafu)?;
         let state = Arc::new(state);
-        let host = &state.setting.host;
+        let setting = state.setting();
+        let host = &setting.host;
         let callers = bind("callers", host.callers).await?;
         let peers = bind("hosts", state.own.address).await?;
         let gossip = Gossip::bind(Arc::clone(&state)).await.context(BindSnafu {
@@ -143,7 +144,7 @@
         } = self;
         info!(state.log(), "entry: stopping");
         state.leaving.store(true, Ordering::Relaxed);
-        let grace = state.setting.bounds.grace.saturating_sub(RESERVE);
+        let grace = state.setting().bounds.grace.saturating_sub(RESERVE);
         let open = grace.mul_f64(OPEN_SHARE);
         sleep(open).await;
         stop_callers.cancel();
--- a/crates/entry/src/process/gossip.rs
+++ b/crates/entry/src/process/gossip.rs
@@ -149,7 +149,8 @@
         drop(company);
         if first || lonely {
             let port = self.state.own.address.port();
-            let seeds = self.state.setting.host.seeds.iter();
+            let setting = self.state.setting();
+            let seeds = setting.host.seeds.iter();
             let seeds = seeds.map(|seed| SocketAddr::new(seed.ip(), port));
             let unknown = seeds.filter(|seed| {
                 *seed != self.state.own.address && targets.iter().all(|(_, known)| known != seed)
--- a/crates/entry/src/process/journal.rs
+++ b/crates/entry/src/process/journal.rs
@@ -1,7 +1,8 @@
 //! Log lines of a host, written in batches by a thread of their own.
 //!
 //! A reader of the standard output that stalls never holds up a request: lines beyond the bound
-//! are counted and dropped.
+//! are counted and dropped. Warnings, which tell of failures, have a bound of their own and wait
+//! for the reader.
 
 use slog::{Drain, Level, Logger, Never, OwnedKVList, Record, o};
 use std::{
@@ -19,21 +20,35 @@
 
 /// Time between two batches.
 const ROUND: Duration = Duration::from_millis(200);
-/// Bytes of one batch; 320 KB a second at most.
+/// Bytes of the usual lines of one batch, and again of its failures; 640 KB a second at most.
 const BATCH: usize = 64 * 1024;
 /// Batches that wait for the standard output.
 const WAITING: usize = 4;
 /// Stack of the writing thread in bytes.
 const STACK: usize = 64 * 1024;
 
-/// Lines that were not handed to the writing thread yet.
+/// Lines of one kind that were not handed to the writing thread yet.
 #[derive(Debug, Default)]
 struct Batch {
     bytes: Vec<u8>,
     dropped: u64,
 }
 
-/// End of the log at which lines are collected.
+impl Batch {
+    /// Takes the lines, followed by one that tells how many were dropped.
+    fn take(&mut self, kind: &str) -> Vec<u8> {
+        if self.dropped > 0 {
+            let dropped = mem::take(&mut self.dropped);
+            let line = format!(
+                "{{\"msg\":\"journal: dropped\",\"kind\":\"{kind}\",\"lines\":{dropped}}}\n"
+            );
+            self.bytes.extend_from_slice(line.as_bytes());
+        }
+        mem::take(&mut self.bytes)
+    }
+}
+
+/// End of the log at which lines of one kind are collected.
 #[derive(Debug, Clone, Default)]
 struct Sink(Arc<Mutex<Batch>>);
 
@@ -58,35 +73,56 @@
 /// Log of a host.
 #[derive(Debug)]
 pub struct Journal {
-    sink: Sink,
+    usual: Sink,
+    failures: Sink,
     batches: SyncSender<Vec<u8>>,
 }
 
-/// Drain that drops lines beyond the bound.
+/// Drain for lines of one kind that drops those beyond the bound.
 struct Bounded {
     json: Mutex<slog_json::Json<Sink>>,
     sink: Sink,
-    level: Level,
 }
 
-impl Drain for Bounded {
-    type Ok = ();
-    type Err = Never;
-
-    fn log(&self, record: &Record<'_>, values: &OwnedKVList) -> Result<(), Never> {
-        if !record.level().is_at_least(self.level) {
-            return Ok(());
+impl Bounded {
+    fn new(sink: &Sink) -> Self {
+        Self {
+            json: Mutex::new(slog_json::Json::default(sink.clone())),
+            sink: sink.clone(),
         }
+    }
+
+    fn log(&self, record: &Record<'_>, values: &OwnedKVList) {
         let mut batch = self.sink.lock();
         if batch.bytes.len() >= BATCH {
             batch.dropped += 1;
-            return Ok(());
+            return;
         }
         drop(batch);
         if let Ok(json) = self.json.lock() {
             // Writing to memory fails for no line that can be encoded.
             drop(json.log(record, values));
         }
+    }
+}
+
+/// Drain that keeps warnings apart, so that they are not dropped before usual lines.
+struct Split {
+    usual: Bounded,
+    failures: Bounded,
+    level: Level,
+}
+
+impl Drain for Split {
+    type Ok = ();
+    type Err = Never;
+
+    fn log(&self, record: &Record<'_>, values: &OwnedKVList) -> Result<(), Never> {
+        if record.level().is_at_least(Level::Warning) {
+            self.failures.log(record, values);
+        } else if record.level().is_at_least(self.level) {
+            self.usual.log(record, values);
+        }
         Ok(())
     }
 }
@@ -98,11 +134,10 @@
     ///
     /// Fails if the thread cannot be started.
     pub fn open(level: Level, output: impl Write + Send + 'static) -> io::Result<(Self, Logger)> {
-        let sink = Sink::default();
-        let json = slog_json::Json::default(sink.clone());
-        let bounded = Bounded {
-            json: Mutex::new(json),
-            sink: sink.clone(),
+        let (usual, failures) = (Sink::default(), Sink::default());
+        let split = Split {
+            usual: Bounded::new(&usual),
+            failures: Bounded::new(&failures),
             level,
         };
         let (batches, waiting) = sync_channel(WAITING);
@@ -110,7 +145,12 @@
             .name("journal".to_owned())
             .stack_size(STACK)
             .spawn(move || write(&waiting, output))?;
-        Ok((Self { sink, batches }, Logger::root(bounded, o!())))
+        let journal = Self {
+            usual,
+            failures,
+            batches,
+        };
+        Ok((journal, Logger::root(split, o!())))
     }
 
     /// Hands lines to the writing thread from time to time, for ever.
@@ -122,23 +162,28 @@
     }
 
     /// Hands the lines so far to the writing thread.
+    ///
+    /// If the standard output stalls, usual lines are dropped and failures wait.
     pub fn flush(&self) {
-        let mut batch = self.sink.lock();
+        self.hand_over(&self.failures, "failures", true);
+        self.hand_over(&self.usual, "usual", false);
+    }
+
+    fn hand_over(&self, sink: &Sink, kind: &str, waits: bool) {
+        let mut batch = sink.lock();
         if batch.bytes.is_empty() {
             return;
         }
-        if batch.dropped > 0 {
-            let line = format!(
-                "{{\"msg\":\"journal: dropped\",\"lines\":{}}}\n",
-                batch.dropped
-            );
-            batch.bytes.extend_from_slice(line.as_bytes());
-        }
-        let bytes = mem::take(&mut batch.bytes);
-        let lines = bytes.split(|byte| *byte == b'\n').count() as u64 - 1;
-        match self.batches.try_send(bytes) {
-            Ok(()) => batch.dropped = 0,
-            Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => batch.dropped += lines,
+        let bytes = batch.take(kind);
+        let Err(TrySendError::Full(bytes) | TrySendError::Disconnected(bytes)) =
+            self.batches.try_send(bytes)
+        else {
+            return;
+        };
+        if waits {
+            batch.bytes = bytes;
+        } else {
+            batch.dropped += bytes.split(|byte| *byte == b'\n').count() as u64 - 1;
         }
     }
 }
--- a/crates/entry/src/process/journal/tests.rs
+++ b/crates/entry/src/process/journal/tests.rs
@@ -1,7 +1,7 @@
 //! A log whose reader stalls.
 
 use super::{BATCH, Journal, WAITING};
-use slog::{Level, info};
+use slog::{Level, info, warn};
 use std::{
     io::{self, Write},
     sync::mpsc::{Receiver, Sender, channel},
@@ -48,3 +48,28 @@
         "no line tells of the drops"
     );
 }
+
+/// A flood of usual lines and a reader that stalls take no line of a failure away.
+#[test]
+fn failures_outlive_usual_lines() {
+    const FAILURES: usize = 40;
+    let (go, start) = channel();
+    let (written, lines) = channel();
+    let output = Stalled { start, written };
+    let (journal, log) = Journal::open(Level::Info, output).expect("a thread starts");
+    for failure in 0..FAILURES {
+        for number in 0..2 * BATCH / 100 {
+            info!(log, "a line of some length that fills the batch"; "number" => number);
+        }
+        warn!(log, "failed"; "failure" => failure);
+        journal.flush();
+    }
+    drop(go);
+    let mut text = String::new();
+    while (0..FAILURES).any(|failure| !text.contains(&format!("\"failure\":{failure}}}"))) {
+        journal.flush();
+        let batch = lines.recv_timeout(std::time::Duration::from_secs(5));
+        text += &String::from_utf8(batch.expect("all failures are written")).expect("valid text");
+    }
+    assert!(text.contains("\"kind\":\"usual\""), "drops are told");
+}
--- a/crates/entry/src/process/state.rs
+++ b/crates/entry/src/process/state.rs
@@ -13,7 +13,7 @@
         fleet::{Fleet, Place},
     },
 };
-use arc_swap::ArcSwapOption;
+use arc_swap::{ArcSwap, ArcSwapOption, Guard};
 use azurenotch_core::{
     process::{
         duty,
@@ -21,6 +21,7 @@
         quota::{self, Quota},
         repeat, warmup,
     },
+    request::hold::Account,
     version::drift::Drift,
 };
 use azurenotch_platform::Clock;
@@ -42,6 +43,9 @@
 
 /// Margin by which a host refuses keys before the bound of withdrawals is over.
 const WITHDRAWAL_MARGIN: Duration = Duration::from_millis(150);
+/// Bytes of request bodies and of whole answers that this host holds at most, all together, as a
+/// share of its memory.
+const BODIES_SHARE: f64 = 0.4;
 /// Latency objective of a service to which no route leads.
 const DEFAULT_OBJECTIVE: Duration = Duration::from_secs(1);
 
@@ -81,8 +85,7 @@
 /// What requests and control tasks of one host share.
 #[derive(Debug)]
 pub struct State {
-    /// Settings.
-    pub setting: Setting,
+    setting: ArcSwap<Setting>,
     /// What the host says of itself.
     pub own: Peer,
     /// Outside systems.
@@ -105,7 +108,9 @@
     pub company: Mutex<Company>,
     /// Whether a planned stop was announced.
     pub leaving: AtomicBool,
-    place: Place,
+    /// Memory for bodies that are held as a whole.
+    pub memory: Arc<Mutex<Account>>,
+    place: ArcSwap<Place>,
 }
 
 impl State {
@@ -115,15 +120,12 @@
     ///
     /// Fails if counters cannot be created.
     pub fn new(setting: Setting, own: Peer, parts: Parts) -> Result<Self, prometheus::Error> {
-        let place = Place {
-            data_centre: setting.host.data_centre.clone(),
-            region: setting.host.region.clone(),
-            regions: setting.data_centres.clone(),
-        };
+        let account = Account::new(setting.machine.memory(BODIES_SHARE));
         Ok(Self {
             own,
             parts,
-            place,
+            memory: Arc::new(Mutex::new(account)),
+            place: ArcSwap::from_pointee(place(&setting)),
             counter: Counter::new()?,
             catalog: ArcSwapOption::empty(),
             world: Mutex::default(),
@@ -133,10 +135,40 @@
             drift: Mutex::default(),
             company: Mutex::default(),
             leaving: AtomicBool::new(false),
-            setting,
+            setting: ArcSwap::from_pointee(setting),
         })
     }
 
+    /// Returns the settings in force.
+    pub fn setting(&self) -> Guard<Arc<Setting>> {
+        self.setting.load()
+    }
+
+    /// Puts changed settings in force.
+    ///
+    /// Returns the names of those that are in force from the next start only.
+    pub fn reload(&self, next: Setting) -> Vec<&'static str> {
+        let former = self.setting.load_full();
+        let (setting, waiting) = former.succeeded_by(next);
+        self.memory
+            .lock()
+            .set_limit(setting.machine.memory(BODIES_SHARE));
+        if setting.store != former.store {
+            self.parts.store.redirect(setting.store);
+        }
+        let limit = limit(&setting);
+        for fleet in self.fleets.lock().values_mut() {
+            fleet.budget.set_limit(limit);
+        }
+        let moved = setting.data_centres != former.data_centres;
+        self.place.store(Arc::new(place(&setting)));
+        self.setting.store(Arc::new(setting));
+        if moved {
+            self.relist(self.now());
+        }
+        waiting
+    }
+
     /// Returns the present instant.
     pub fn now(&self) -> Instant {
         self.parts.clock.now()
@@ -159,7 +191,7 @@
 
     /// Returns whether keys can be trusted: whether a withdrawal would be known.
     pub fn trusts_keys(&self, now: Instant) -> bool {
-        let bounds = &self.setting.bounds;
+        let bounds = &self.setting().bounds;
         if !bounds.strict_withdrawal {
             return true;
         }
@@ -237,7 +269,7 @@
             Change::Move(service, version, order) => {
                 let to = order.as_ref().map(|order| order.to.to_string());
                 info!(log, "orders: move"; "service" => %service, "to" => ?to, "source" => source);
-                let exposure = self.setting.bounds.exposure;
+                let exposure = self.setting().bounds.exposure;
                 let clock = self.world.lock().clock(now);
                 if let Some(fleet) = self.fleets.lock().get_mut(&service) {
                     fleet.order(now, version, order.as_ref(), exposure);
@@ -265,7 +297,7 @@
                     "source" => source);
                 let evacuated = self.world.lock().is_evacuated(&backend.data_centre);
                 if !evacuated && let Some(fleet) = self.fleets.lock().get_mut(&backend.service) {
-                    fleet.list(now, &self.place, &server, &backend);
+                    fleet.list(now, &self.place.load(), &server, &backend);
                 }
                 if !backend.cold.is_zero() {
                     self.sponsor(now);
@@ -305,12 +337,7 @@
     }
 
     fn adopt_services(&self, now: Instant, config: &Config) -> usize {
-        let bounds = &self.setting.bounds;
-        let limit = repeat::Limit {
-            ratio: bounds.repeat_ratio,
-            slack: bounds.repeat_slack,
-            window: bounds.repeat_window,
-        };
+        let limit = limit(&self.setting());
         let mut fleets = self.fleets.lock();
         let mut added = false;
         for (service, traits) in &config.services {
@@ -347,7 +374,7 @@
             if let Some(quota) = quotas.get_mut(workspace) {
                 quota.adopt(now, contract);
             } else {
-                let quota = Quota::new(now, contract, self.setting.host.is_first);
+                let quota = Quota::new(now, contract, self.setting().host.is_first);
                 quotas.insert(workspace.clone(), quota);
             }
         }
@@ -374,7 +401,7 @@
                 fleet.unlist(&server);
                 continue;
             }
-            fleet.list(now, &self.place, &server, &backend);
+            fleet.list(now, &self.place.load(), &server, &backend);
             // Its servers may have become cold meanwhile, which only a health check tells.
             if let Some(index) = fleet.placement.find(&server) {
                 fleet.placement.doubt(index);
@@ -383,6 +410,23 @@
     }
 }
 
+fn place(setting: &Setting) -> Place {
+    Place {
+        data_centre: setting.host.data_centre.clone(),
+        region: setting.host.region.clone(),
+        regions: setting.data_centres.clone(),
+    }
+}
+
+fn limit(setting: &Setting) -> repeat::Limit {
+    let bounds = &setting.bounds;
+    repeat::Limit {
+        ratio: bounds.repeat_ratio,
+        slack: bounds.repeat_slack,
+        window: bounds.repeat_window,
+    }
+}
+
 /// Returns the hash by which hosts agree on the sponsors of a server.
 pub(crate) fn hash(name: &str) -> u64 {
     use std::hash::{Hash, Hasher};
--- a/crates/entry/src/request/attempt.rs
+++ b/crates/entry/src/request/attempt.rs
@@ -5,6 +5,7 @@
     process::state::State,
     request::{
         head,
+        memory::Part,
         reply::{Body, Stream, Unit},
     },
 };
@@ -252,13 +253,14 @@
     Exchanged::Head(response, lease)
 }
 
-/// Reads the body of an answer, as a whole if it is not too long.
+/// Reads the body of an answer, as a whole if it is not too long and there is memory.
 async fn receive(state: &State, job: &Job, response: Response<Incoming>, lease: Lease) -> Ending {
     let (mut parts, mut body) = response.into_parts();
     let keep = head::keep(&parts.headers, pool::KEEP);
     let head_only = job.method == Method::HEAD;
     head::strip(&mut parts.headers);
     let mut whole = BytesMut::new();
+    let mut part = Part::new(&state.memory);
     while !body.is_end_stream() {
         let frame = match body.frame().await {
             None => break,
@@ -268,7 +270,7 @@
         if let Ok(data) = frame.into_data() {
             whole.extend_from_slice(&data);
         }
-        if whole.len() > WHOLE {
+        if whole.len() > WHOLE || part.grow(whole.len() as u64).is_err() {
             let in_flight = Unit::new(&state.counter.in_flight);
             let stream = Stream::new(whole.freeze(), body, lease, in_flight);
             let body = Body::Stream(Box::new(stream));
@@ -285,7 +287,7 @@
     if !head_only {
         parts.headers.remove(header::CONTENT_LENGTH);
     }
-    let body = Body::Whole(Full::new(whole.freeze()));
+    let body = Body::Whole(Full::new(whole.freeze()), Some(part));
     Ending::Answered(crate::request::reply::passed(
         parts.status,
         parts.headers,
--- a/crates/entry/src/request/forward.rs
+++ b/crates/entry/src/request/forward.rs
@@ -19,12 +19,12 @@
     },
 };
 use azurenotch_wire::{
-    id::{Region, Service},
+    id::{Region, Release, Server, Service},
     time::Instant,
 };
 use http::{HeaderMap, Response, StatusCode};
 use rand::random;
-use slog::info;
+use slog::warn;
 use std::time::Duration;
 
 /// Time after which a caller comes back when no backend server may take its request.
@@ -43,6 +43,17 @@
     pub(crate) job: Job,
 }
 
+/// What the host believed of the place that it chose last.
+#[derive(Debug)]
+pub(crate) struct Belief {
+    pub(crate) server: Server,
+    pub(crate) release: Release,
+    pub(crate) offer: Offer,
+    pub(crate) warm: f64,
+    /// Age of the load that the server told last.
+    pub(crate) told: Option<Duration>,
+}
+
 /// What became of a request.
 #[derive(Debug)]
 pub(crate) struct Outcome {
@@ -52,6 +63,8 @@
     /// Whether the request may have run.
     pub(crate) ran: bool,
     pub(crate) sends: usize,
+    /// Inputs of the last placement; `None` if the request came to none.
+    pub(crate) belief: Option<Belief>,
 }
 
 /// State of a request between two sends.
@@ -66,11 +79,12 @@
     settled: bool,
     /// Failure of a backend server that is passed on if nothing better comes.
     failure: Option<Response<Body>>,
+    belief: Option<Belief>,
 }
 
 impl Course {
     /// Passes an answer on, unless its status would say that the request has not run.
-    fn pass(&self, response: Response<Body>) -> Outcome {
+    fn pass(&mut self, response: Response<Body>) -> Outcome {
         let status = response.status();
         let promises = matches!(
             status,
@@ -89,6 +103,7 @@
             reason,
             ran: true,
             sends: self.tried.len(),
+            belief: self.belief.take(),
         }
     }
 
@@ -102,6 +117,7 @@
             reason: Some(reason),
             ran: false,
             sends: self.tried.len(),
+            belief: self.belief.take(),
         }
     }
 
@@ -119,6 +135,7 @@
             reason: Some(reason),
             ran: true,
             sends: self.tried.len(),
+            belief: self.belief.take(),
         }
     }
 }
@@ -157,7 +174,7 @@
         self.state.counter.attempt(self.service.as_str(), name);
         let sends = course.tried.len();
         if !matches!(ending, Some(Ending::Answered(_))) {
-            info!(self.state.log(), "attempt: no answer"; "id" => &self.job.id,
+            warn!(self.state.log(), "attempt: no answer"; "id" => &self.job.id,
                 "server" => %target.server, "ending" => name, "send" => sends,
                 "expected-ms" => target.choice.expected.as_millis() as u64,
                 "cause" => cause(ending.as_ref()));
@@ -249,6 +266,14 @@
             objective: route.objective,
             rank: self.grant.rank(),
         };
+        let backend = fleet.placement.backend(choice.index);
+        course.belief = Some(Belief {
+            server: backend.server.clone(),
+            release: backend.release.clone(),
+            offer,
+            warm: choice.warm,
+            told: choice.told,
+        });
         if let Decision::Refuse(wait) = admission::decide(&offer, random()) {
             return Next::Refuse(Reason::Overload, wait);
         }
--- a/crates/entry/src/request/gate.rs
+++ b/crates/entry/src/request/gate.rs
@@ -6,28 +6,28 @@
         attempt::Job,
         forward::{self, Flight, Outcome},
         head,
+        memory::Part,
         reply::{self, Body, Reason, Unit},
+        upload,
     },
     version::catalog::{Catalog, Denial, Grant},
 };
 use azurenotch_core::request::admission;
 use azurenotch_wire::time::Instant;
-use bytes::{Bytes, BytesMut};
 use http::{HeaderValue, Request, Response, StatusCode, header};
-use http_body::Body as _;
-use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use rand::random;
-use slog::info;
+use slog::{info, o, warn};
 use std::{sync::Arc, time::Duration};
-use tokio::time::timeout;
 
 /// Time after which a caller comes back to a host that cannot trust keys.
 const STALE_RETRY: Duration = Duration::from_millis(800);
 /// Time after which a caller comes back to a host without a configuration.
 const START_RETRY: Duration = Duration::from_millis(300);
-/// Bytes of request bodies that this host holds at most, as a share of its memory.
-const HELD_SHARE: f64 = 0.25;
+/// Time after which a caller comes back whose body found no memory.
+const MEMORY_RETRY: Duration = Duration::from_millis(500);
+/// Longest body as a share of the host's memory.
+const LONGEST_SHARE: f64 = 0.25;
 
 /// Answers one request.
 pub async fn handle(state: &Arc<State>, request: Request<Incoming>) -> Response<Body> {
@@ -94,10 +94,12 @@
         let patience = head::patience(&parts.headers, dialect);
         let time = patience.map_or(route.timeout, |it| it.min(route.timeout));
         let deadline = self.arrived + time;
-        let limit = catalog.limits.body_bytes.min(self.held_limit());
-        let body = match collect(body, limit, time).await {
+        let limit = catalog.limits.body_bytes.min(self.longest_body());
+        // Held until the request has ended.
+        let mut part = Part::new(&self.state.memory);
+        let body = match upload::collect(body, &mut part, limit, time).await {
             Ok(body) => body,
-            Err((status, reason)) => return own(status, reason),
+            Err(error) => return self.reject(&grant, &error),
         };
         let object = route
             .sticky
@@ -119,13 +121,32 @@
             },
         };
         let outcome = flight.run().await;
-        if !outcome.ran
-            && let Some(tenant) = &grant.tenant
+        if !outcome.ran {
+            self.put_back(&grant);
+        }
+        outcome
+    }
+
+    /// Returns the token of a request that was turned away.
+    fn put_back(&self, grant: &Grant) {
+        if let Some(tenant) = &grant.tenant
             && let Some(quota) = self.state.quotas.lock().get_mut(&tenant.name)
         {
             quota.put_back();
         }
-        outcome
+    }
+
+    /// Answers a request whose body was not read.
+    fn reject(&self, grant: &Grant, error: &upload::Error) -> Outcome {
+        info!(self.state.log(), "request: body not read"; "id" => &self.id,
+            "cause" => %error);
+        let (status, reason) = error.answer();
+        if reason != Reason::NoMemory {
+            return own(status, reason);
+        }
+        self.put_back(grant);
+        let wait = admission::retry_after(MEMORY_RETRY, random());
+        refuse(status, reason, wait)
     }
 
     fn grant(&self, catalog: &Catalog, request: &Request<Incoming>) -> Result<Grant, Denial> {
@@ -155,8 +176,8 @@
         Some(refuse(StatusCode::TOO_MANY_REQUESTS, Reason::Quota, wait))
     }
 
-    fn held_limit(&self) -> u64 {
-        (self.state.setting.machine.memory_mb * 1e6 * HELD_SHARE) as u64
+    fn longest_body(&self) -> u64 {
+        self.state.setting().machine.memory(LONGEST_SHARE)
     }
 
     fn finish(&self, outcome: Outcome) -> Response<Body> {
@@ -166,10 +187,29 @@
         let reason = reason.as_deref().unwrap_or("server");
         let counter = &self.state.counter;
         counter.answer(&self.route, status, reason, took);
-        info!(self.state.log(), "request: answered"; "id" => &self.id, "status" => status,
-            "reason" => reason, "route" => &self.route, "workspace" => &self.workspace,
-            "configuration" => self.version, "sends" => outcome.sends,
-            "ms" => took.as_millis() as u64);
+        let belief = outcome.belief.as_ref();
+        let ms = |time: Duration| time.as_millis() as u64;
+        let offer = belief.map(|belief| &belief.offer);
+        let line = o!(
+            "id" => &self.id, "status" => status, "reason" => reason, "ran" => outcome.ran,
+            "route" => &self.route, "workspace" => &self.workspace,
+            "configuration" => self.version, "sends" => outcome.sends, "ms" => ms(took),
+            "server" => belief.map(|belief| belief.server.as_str()),
+            "version" => belief.map(|belief| belief.release.as_str()),
+            "expected-ms" => offer.map(|offer| ms(offer.expected)),
+            "wait-ms" => offer.map(|offer| ms(offer.wait)),
+            "left-ms" => offer.map(|offer| ms(offer.left)),
+            "objective-ms" => offer.map(|offer| ms(offer.objective)),
+            "rank" => offer.map(|offer| offer.rank),
+            "warm" => belief.map(|belief| belief.warm),
+            "load-age-ms" => belief.and_then(|belief| belief.told).map(ms),
+        );
+        // Failures have a bound of their own in the journal.
+        if status >= 500 || status == StatusCode::TOO_MANY_REQUESTS {
+            warn!(self.state.log(), "request: answered"; line);
+        } else {
+            info!(self.state.log(), "request: answered"; line);
+        }
         outcome.response
     }
 }
@@ -180,6 +220,7 @@
         reason: Some(reason),
         ran: false,
         sends: 0,
+        belief: None,
     }
 }
 
@@ -189,6 +230,7 @@
         reason: Some(reason),
         ran: false,
         sends: 0,
+        belief: None,
     }
 }
 
@@ -201,36 +243,6 @@
     own(status, Reason::Denied)
 }
 
-/// Reads the body of a request as a whole, so that it can be sent again.
-async fn collect(
-    mut body: Incoming,
-    limit: u64,
-    time: Duration,
-) -> Result<Bytes, (StatusCode, Reason)> {
-    const TOO_LARGE: (StatusCode, Reason) = (StatusCode::PAYLOAD_TOO_LARGE, Reason::BodyTooLarge);
-    if body.is_end_stream() {
-        return Ok(Bytes::new());
-    }
-    if body.size_hint().lower() > limit {
-        return Err(TOO_LARGE);
-    }
-    let read = timeout(time, async {
-        let mut whole = BytesMut::new();
-        while let Some(frame) = body.frame().await {
-            let frame = frame.map_err(|_broken| (StatusCode::BAD_REQUEST, Reason::BrokenBody))?;
-            if let Ok(data) = frame.into_data() {
-                whole.extend_from_slice(&data);
-            }
-            if whole.len() as u64 > limit {
-                return Err(TOO_LARGE);
-            }
-        }
-        Ok(whole.freeze())
-    });
-    read.await
-        .unwrap_or(Err((StatusCode::REQUEST_TIMEOUT, Reason::Timeout)))
-}
-
 /// Returns path and query, as backend servers get them.
 fn origin(uri: &http::Uri) -> http::Uri {
     let path = uri.path_and_query().cloned();
--- a/crates/entry/src/request/mod.rs
+++ b/crates/entry/src/request/mod.rs
@@ -4,4 +4,6 @@
 pub mod forward;
 pub mod gate;
 pub mod head;
+pub mod memory;
 pub mod reply;
+pub mod upload;
--- a/crates/entry/src/request/reply.rs
+++ b/crates/entry/src/request/reply.rs
@@ -1,6 +1,6 @@
 //! Answers to callers.
 
-use crate::connection::pool::Lease;
+use crate::{connection::pool::Lease, request::memory::Part};
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Response, StatusCode, header};
 use http_body::{Body as HttpBody, Frame, SizeHint};
@@ -16,8 +16,8 @@
 /// Body of an answer.
 #[derive(Debug)]
 pub enum Body {
-    /// A body that is there as a whole.
-    Whole(Full<Bytes>),
+    /// A body that is there as a whole, with the memory that it takes.
+    Whole(Full<Bytes>, Option<Part>),
     /// A body that a backend server is still sending.
     Stream(Box<Stream>),
 }
@@ -79,7 +79,7 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
         match self.get_mut() {
-            Self::Whole(body) => Pin::new(body)
+            Self::Whole(body, _) => Pin::new(body)
                 .poll_frame(cx)
                 .map_err(|never| match never {}),
             Self::Stream(stream) => match stream.first.take() {
@@ -91,14 +91,14 @@
 
     fn is_end_stream(&self) -> bool {
         match self {
-            Self::Whole(body) => body.is_end_stream(),
+            Self::Whole(body, _) => body.is_end_stream(),
             Self::Stream(stream) => stream.first.is_none() && stream.rest.is_end_stream(),
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            Self::Whole(body) => body.size_hint(),
+            Self::Whole(body, _) => body.size_hint(),
             Self::Stream(stream) => stream.hint,
         }
     }
@@ -125,6 +125,9 @@
     /// The body is too long.
     #[display("body-too-large")]
     BodyTooLarge,
+    /// The memory for bodies is in use.
+    #[display("no-memory")]
+    NoMemory,
     /// The caller broke off its body.
     #[display("broken-body")]
     BrokenBody,
@@ -141,7 +144,7 @@
 
 /// Returns an answer of the host itself.
 pub fn own(status: StatusCode, retry_after: Option<Duration>) -> Response<Body> {
-    let mut response = Response::new(Body::Whole(Full::default()));
+    let mut response = Response::new(Body::Whole(Full::default(), None));
     *response.status_mut() = status;
     if let Some(wait) = retry_after {
         let text = format!("{:.2}", wait.as_secs_f64());
--- a/crates/entry/src/setting.rs
+++ b/crates/entry/src/setting.rs
@@ -62,6 +62,13 @@
     pub descriptors: u32,
 }
 
+impl Machine {
+    /// Returns a share of the memory in bytes.
+    pub fn memory(&self, share: f64) -> u64 {
+        (self.memory_mb * 1e6 * share) as u64
+    }
+}
+
 /// Section `[bounds]`: what the operator expects.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Bounds {
@@ -92,6 +99,43 @@
 }
 
 impl Setting {
+    /// Returns the settings in force after a change without a restart.
+    ///
+    /// Returns also the names of the changed settings that are in force from the next start.
+    pub fn succeeded_by(&self, next: Self) -> (Self, Vec<&'static str>) {
+        let (old, new) = (&self.host, &next.host);
+        let changes = [
+            ("name", old.name != new.name),
+            ("data-centre", old.data_centre != new.data_centre),
+            ("region", old.region != new.region),
+            ("callers", old.callers != new.callers),
+            ("ready", old.ready != new.ready),
+            ("look-ups", old.look_ups != new.look_ups),
+            ("control", old.control != new.control),
+            ("peer-port", old.peer_port != new.peer_port),
+            (
+                "descriptors",
+                self.machine.descriptors != next.machine.descriptors,
+            ),
+        ];
+        let waiting = changes.into_iter().filter(|(_, changed)| *changed);
+        let waiting = waiting.map(|(name, _)| name).collect();
+        let host = Host {
+            seeds: next.host.seeds,
+            ..self.host.clone()
+        };
+        let machine = Machine {
+            descriptors: self.machine.descriptors,
+            ..next.machine
+        };
+        let next = Self {
+            host,
+            machine,
+            ..next
+        };
+        (next, waiting)
+    }
+
     /// Reads settings.
     ///
     /// # Errors
--- a/crates/entry/src/setting/tests.rs
+++ b/crates/entry/src/setting/tests.rs
@@ -49,3 +49,33 @@
 fn wrong_settings_are_refused(right: &str, wrong: &str) {
     assert!(Setting::parse(&TEXT.replace(right, wrong)).is_err());
 }
+
+/// A change of the settings while the host runs.
+struct Change {
+    from: &'static str,
+    to: &'static str,
+    /// Settings that wait for the next start.
+    waiting: &'static [&'static str],
+}
+
+#[test_case(Change { from: "withdrawal-s = 5", to: "withdrawal-s = 3", waiting: &[] }; "bound")]
+#[test_case(Change { from: "127.0.0.1:8382", to: "127.0.0.9:8382", waiting: &[] }; "store")]
+#[test_case(Change { from: "127.0.0.2:8383", to: "127.0.0.7:8383", waiting: &[] }; "seeds")]
+#[test_case(Change { from: "memory-mb = 260", to: "memory-mb = 90", waiting: &[] }; "memory")]
+#[test_case(Change { from: "[data-centre faro-a]", to: "[data-centre faro-b]", waiting: &[] }; "data centres")]
+#[test_case(Change { from: "callers = 127.0.0.1:8389", to: "callers = 127.0.0.1:9389", waiting: &["callers"] }; "port")]
+#[test_case(Change { from: "descriptors = 4100", to: "descriptors = 900", waiting: &["descriptors"] }; "descriptors")]
+#[test_case(Change { from: "name = edge-porto-a-1", to: "name = edge-2", waiting: &["name"] }; "name")]
+fn changes_without_a_restart(change: Change) {
+    let former = Setting::parse(TEXT).expect("valid settings");
+    let text = TEXT.replace(change.from, change.to);
+    let next = Setting::parse(&text).expect("valid settings");
+    assert_ne!(former, next, "the text differs");
+    let (in_force, waiting) = former.succeeded_by(next.clone());
+    assert_eq!(waiting, change.waiting);
+    if waiting.is_empty() {
+        assert_eq!(in_force, next);
+    } else {
+        assert_eq!(in_force, former);
+    }
+}
