feat(cli): azurenotch explain: what became of one request, from the logs of all hosts

Reads the logs of all hosts on the standard input in any order and prints what the request's hosts knew, the lines of the request, events around it and the cause in sentences. Collectors may put names before lines or join lines of several hosts on one.

Ruled out: a query at running hosts (they keep no lines, and the host may be gone), and filters with grep alone (what a host believed is in lines without the id).

--- a/crates/cli/src/command/mod.rs
+++ b/crates/cli/src/command/mod.rs
@@ -2,6 +2,7 @@
 
 mod document;
 mod drain;
+mod explain;
 mod host;
 mod key;
 mod rollout;
@@ -14,6 +15,7 @@
     option::{self, Command, Options},
 };
 use bpaf::doc::Section;
+use std::io::stdin;
 
 /// Runs a command.
 pub async fn run(options: &Options) -> Answer {
@@ -23,12 +25,13 @@
 async fn answer(options: &Options) -> Result<Answer, Error> {
     match &options.command {
         Command::Check { settings, file } => return document::check(file, *settings),
+        Command::Explain { id } => return explain::run(id, stdin().lock()),
         Command::Manual => return Ok(manual()),
         _ => {}
     }
     let client = Client::new(options.hosts())?;
     match &options.command {
-        Command::Check { .. } | Command::Manual => Ok(Answer::default()),
+        Command::Check { .. } | Command::Explain { .. } | Command::Manual => Ok(Answer::default()),
         Command::Diff { file } => document::diff(&client, file).await,
         Command::Apply { expect, wait, file } => {
             document::apply(&client, file, *expect, *wait).await
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -26,6 +26,14 @@
     /// A file cannot be read.
     #[snafu(display("{} cannot be read: {source}", path.display()))]
     Read { path: PathBuf, source: io::Error },
+    /// The standard input cannot be read.
+    #[snafu(display("the standard input cannot be read: {source}"))]
+    Input { source: io::Error },
+    /// No line of the log has the id.
+    #[snafu(display(
+        "no line of {lines} has the id {id:?}; lines may have been dropped, see `journal: dropped`"
+    ))]
+    NoSuchId { id: String, lines: usize },
     /// A file cannot be written.
     #[snafu(display("{} cannot be written: {source}", path.display()))]
     Write { path: PathBuf, source: io::Error },
@@ -107,8 +115,13 @@
             | Self::Encode { .. }
             | Self::Unconfirmed { .. }
             | Self::NoHosts { .. }
+            | Self::NoSuchId { .. }
             | Self::NoMove { .. } => FAILED,
-            Self::Read { .. } | Self::Write { .. } | Self::KeyFile { .. } | Self::NoHost => USAGE,
+            Self::Read { .. }
+            | Self::Write { .. }
+            | Self::Input { .. }
+            | Self::KeyFile { .. }
+            | Self::NoHost => USAGE,
             Self::Conflict { .. } => CONFLICT,
             Self::Unreachable { .. } | Self::Unknown { .. } => UNREACHABLE,
             Self::Refused { .. } | Self::Malformed { .. } => REFUSED,
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod command;
 pub mod confirm;
 pub mod error;
+pub mod explain;
 pub mod option;
 pub mod page;
 pub mod table;
--- a/crates/cli/src/option.rs
+++ b/crates/cli/src/option.rs
@@ -111,6 +111,13 @@
     /// Merge the events of all hosts into one order
     #[bpaf(command)]
     Timeline(#[bpaf(external(timeline))] Timeline),
+    /// Explain what became of one request, from the logs of all hosts on the standard input
+    #[bpaf(command)]
+    Explain {
+        /// Id of the caller's attempt
+        #[bpaf(positional("ID"))]
+        id: String,
+    },
     /// Print the manual page in roff format
     #[bpaf(command("manual"))]
     Manual,
--- a/crates/cli/tests/cli/main.rs
+++ b/crates/cli/tests/cli/main.rs
@@ -3,5 +3,6 @@
 mod command;
 mod confirm;
 mod exit_code;
+mod explain;
 mod support;
 mod timeline;
--- a/crates/entry/src/process/entry.rs
+++ b/crates/entry/src/process/entry.rs
@@ -116,7 +116,7 @@
             Arc::clone(&state),
             stop_callers.clone(),
         ));
-        info!(state.log(), "entry: started"; "host" => %state.own.host,
+        info!(state.log(), "entry: started";
             "incarnation" => state.own.incarnation, "callers" => %state.own.callers);
         Ok(Self {
             state,
