fix(entry): hosts take turns at writing the state of a move

Cause: only the host with the first name wrote the states of moves, and waited 1.5 s for each answer.

Ruled out: all hosts at once (12 conflicting calls a state), and an earlier end of the plan (less evidence about the new version).

Tests: duty::tests::hosts_take_turns and a_write_is_due_at_several_hosts_within_two_seconds.

--- a/crates/core/src/process/duty.rs
+++ b/crates/core/src/process/duty.rs
@@ -1,4 +1,4 @@
-//! Which hosts follow the store for all others.
+//! Which hosts follow the store for all others, and which write to it.
 //!
 //! Calls to the store are limited and paid for, so that one host of each region follows it and
 //! tells the others. All hosts derive the same one from who is heard; while they disagree, two
@@ -6,7 +6,15 @@
 
 use azurenotch_wire::id::Host;
 use rustc_hash::FxHasher;
-use std::hash::{Hash, Hasher};
+use std::{
+    hash::{Hash, Hasher},
+    time::Duration,
+};
+
+/// Hosts that take turns at a write.
+const TURNS: u32 = 4;
+/// Time that a host leaves to the one before it, for a call to the store and its answer.
+const TURN: Duration = Duration::from_millis(400);
 
 /// Returns whether this host follows the store for those of its region that it hears.
 ///
@@ -16,6 +24,17 @@
     heard.into_iter().all(|host| rank(host) >= mine)
 }
 
+/// Returns how long after a write has become due this host makes it, unless another one has.
+///
+/// The first host by name writes at once. If its calls are lost, or the store refuses it, the next
+/// ones take their turns; `None` if this host is none of them. The store accepts only one write per
+/// version of a row, so that hosts that disagree do no harm.
+pub fn turn<'a>(own: &Host, heard: impl IntoIterator<Item = &'a Host>) -> Option<Duration> {
+    let before = heard.into_iter().filter(|host| *host < own).count();
+    let before = u32::try_from(before).ok()?;
+    (before < TURNS).then(|| TURN * before)
+}
+
 fn rank(host: &Host) -> (u64, &Host) {
     let mut hasher = FxHasher::default();
     host.as_str().hash(&mut hasher);
@@ -23,25 +42,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn one_host_follows_and_another_takes_over() {
-        let hosts: Vec<Host> = (0..28).map(|i| Host::from(format!("h{i}"))).collect();
-        let follower = |hosts: &[Host]| {
-            let mut followers = hosts.iter().filter(|own| follows(own, hosts));
-            let first = followers.next().cloned();
-            assert_eq!(followers.next(), None);
-            first
-        };
-        let first = follower(&hosts).expect("a host follows");
-        let rest: Vec<Host> = hosts.into_iter().filter(|host| *host != first).collect();
-        assert!(follower(&rest).is_some());
-    }
-
-    #[test]
-    fn a_host_that_hears_nobody_follows() {
-        assert!(follows(&"h1".into(), []));
-    }
-}
+mod tests;
--- a/crates/entry/src/process/orders.rs
+++ b/crates/entry/src/process/orders.rs
@@ -5,9 +5,10 @@
     platform::{Error, Subject},
     process::state::State,
 };
-use azurenotch_wire::{evidence::Pair, id::Service};
+use azurenotch_core::process::duty;
+use azurenotch_wire::{evidence::Pair, id::Service, time::Instant};
 use slog::{info, warn};
-use std::{sync::Arc, time::Duration};
+use std::{mem, sync::Arc, time::Duration};
 use tokio::{select, time::sleep};
 use tokio_util::sync::CancellationToken;
 
@@ -19,6 +20,9 @@
 /// Rounds between two log lines about the evidence of a move.
 const REPORT_ROUNDS: u32 = 5;
 
+/// States that have to be written, with the moment from which that was known.
+type Pending = Vec<(Service, u64, Progress, Instant)>;
+
 /// A state that has to be written.
 #[derive(Debug, PartialEq, Eq)]
 struct Due {
@@ -39,16 +43,17 @@
 async fn rounds(state: &State) {
     let mut known = false;
     let mut rounds = 0;
+    let mut pending = Pending::new();
     loop {
         rounds += 1;
         if rounds % REPORT_ROUNDS == 0 {
             report(state);
         }
-        let (under_way, mut due) = look(state);
+        let (under_way, mut due) = look(state, &mut pending);
         // The states that other hosts wrote have to be known before anything follows from them.
         if under_way && (!known || !due.is_empty() || rounds % READ_ROUNDS == 0) {
             known = read(state).await;
-            due = look(state).1;
+            due = look(state, &mut pending).1;
         }
         if known && !due.is_empty() {
             for due in due {
@@ -75,9 +80,10 @@
 }
 
 /// Returns whether a move is under way, and the states that this host has to write.
-fn look(state: &State) -> (bool, Vec<Due>) {
+fn look(state: &State, pending: &mut Pending) -> (bool, Vec<Due>) {
     let now = state.now();
-    let leads = leads(state);
+    let turn = turn(state);
+    let former = mem::take(pending);
     let clock = state.world.lock().clock(now);
     let mut under_way = false;
     let mut due = Vec::new();
@@ -95,8 +101,14 @@
         } else {
             continue;
         };
-        // Whoever sees a fault says so; everything else is left to one host.
-        if leads || progress == Progress::TakenBack {
+        let known = former.iter().find(|(name, order, it, _)| {
+            name == service && *order == turnover.order && *it == progress
+        });
+        let since = known.map_or(now, |(.., since)| *since);
+        pending.push((service.clone(), turnover.order, progress, since));
+        // Whoever sees a fault says so; for everything else hosts take turns.
+        let is_turn = turn.is_some_and(|turn| now.since(since) >= turn);
+        if is_turn || progress == Progress::TakenBack {
             due.push(Due {
                 service: service.clone(),
                 outcome: Outcome {
@@ -112,16 +124,11 @@
     (under_way, due)
 }
 
-/// Returns whether this host has the first name of those that it hears.
-///
-/// Two hosts that both think so do no harm: the store accepts only one write per version of a row.
-fn leads(state: &State) -> bool {
+/// Returns how long after a write has become due this host makes it.
+fn turn(state: &State) -> Option<Duration> {
     let now = state.now();
     let company = state.company.lock();
-    company
-        .presence
-        .heard(now)
-        .all(|host| state.own.host < *host)
+    duty::turn(&state.own.host, company.presence.heard(now))
 }
 
 async fn read(state: &State) -> bool {
