--- a/crates/cli/src/explain/cause.rs
+++ b/crates/cli/src/explain/cause.rs
@@ -22,11 +22,14 @@
     let reason = end.text("reason").unwrap_or("");
     causes.push(match reason {
         "server" => format!(
-            "{} answered with status {} after {} ms; the objective is {} ms.",
+            "{} answered with status {} after {} ms; the objective is {} ms. Expected were {} ms, \
+             {} ms of them in its queue.",
             text("server"),
             number("status"),
             number("ms"),
             number("objective-ms"),
+            number("expected-ms"),
+            number("wait-ms"),
         ),
         "overload" => overload(end),
         "quota" => format!(
