--- a/crates/core/src/version/rollout/sprt.rs
+++ b/crates/core/src/version/rollout/sprt.rs
@@ -210,30 +210,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use test_case::test_case;
-
-    /// Guards against a false alarm from the search's own error when the running version has had
-    /// many requests.
-    #[test_case(0, 12_976; "no request")]
-    #[test_case(624, 31_076; "some requests")]
-    #[test_case(1, 10_000_000; "very many old requests")]
-    fn requests_without_a_hit_are_never_judged_bad(new: u64, old: u64) {
-        let count = |requests| Count {
-            requests,
-            ..Count::default()
-        };
-        let pair = Pair {
-            old: count(old),
-            new: count(new),
-        };
-        for measure in [Measure::Failures, Measure::Latency] {
-            assert_ne!(
-                Test::new(measure, 1).judge(&pair),
-                Verdict::Bad,
-                "{measure:?}"
-            );
-        }
-    }
-}
+mod tests;
--- /dev/null
+++ b/crates/core/src/version/spill/tests.rs
@@ -0,0 +1,77 @@
+use super::*;
+use test_case::test_case;
+
+/// Demand and servers of a region; each request takes a slot for [`WORK`] seconds.
+struct Case {
+    hosts: usize,
+    per_host: f64,
+    slots: f64,
+    /// Smallest and largest share of the slots that the requests which stay use.
+    used: (f64, f64),
+}
+
+/// Seconds of work of one request.
+const WORK: f64 = 0.2;
+
+#[test_case(Case { hosts: 4, per_host: 30.0, slots: 72.0, used: (0.3, 0.35) }; "enough servers, all stay")]
+#[test_case(Case { hosts: 4, per_host: 30.0, slots: 18.0, used: (0.7, 1.0) }; "few servers")]
+#[test_case(Case { hosts: 28, per_host: 20.0, slots: 40.0, used: (0.7, 1.0) }; "a third of the servers needed")]
+fn the_surplus_of_a_region_leaves_it(case: Case) {
+    let mut spill = Spill::default();
+    for step in 0..90_u32 {
+        let at = f64::from(step) * 1000.0 / case.per_host;
+        spill.count(Instant::from_millis(at as u64));
+    }
+    let now = Instant::from_millis((90_000.0 / case.per_host) as u64);
+    for host in 1..case.hosts {
+        spill.hear(now, &format!("h{host}").into(), case.per_host);
+    }
+    let share = spill.share(now, WORK, case.slots, case.hosts);
+    let demand = case.per_host * case.hosts as f64 * WORK;
+    let used = (1.0 - share) * demand / case.slots;
+    let (least, most) = case.used;
+    assert!(
+        (least..=most).contains(&used),
+        "{used} with {share} leaving"
+    );
+}
+
+#[test]
+fn a_region_without_servers_keeps_few_requests() {
+    let mut spill = Spill::default();
+    spill.count(Instant::ZERO);
+    assert!(spill.share(Instant::from_millis(10), WORK, 0.0, 1) >= 0.9);
+}
+
+#[test]
+fn hosts_that_have_told_nothing_count_like_this_one() {
+    let mut spill = Spill::default();
+    for step in 0..90 {
+        spill.count(Instant::from_millis(step * 33));
+    }
+    let now = Instant::from_millis(3_000);
+    let alone = spill.share(now, 0.2, 18.0, 1);
+    let four = spill.share(now, 0.2, 18.0, 4);
+    assert!(alone < 1e-9 && four > 0.3, "{alone} {four}");
+}
+
+/// Guards against a start in which all requests stay until the queues are long.
+#[test]
+fn the_share_is_known_after_a_few_requests() {
+    let mut spill = Spill::default();
+    for step in 0..15 {
+        spill.count(Instant::from_millis(step * 33));
+    }
+    let rate = spill.rate(Instant::from_millis(500));
+    assert!((25.0..36.0).contains(&rate), "{rate}");
+}
+
+#[test]
+fn objects_leave_by_share_and_stay_away() {
+    let objects: Vec<u64> = (0..10_000_u64)
+        .map(|it| it.wrapping_mul(0x9e37_79b9))
+        .collect();
+    let left: Vec<_> = objects.iter().filter(|it| leaves(**it, 0.3)).collect();
+    assert!((2_800..3_200).contains(&left.len()), "{}", left.len());
+    assert!(left.iter().all(|it| leaves(**it, 0.4)));
+}
--- a/crates/model/src/engine.rs
+++ b/crates/model/src/engine.rs
@@ -1,24 +1,28 @@
 //! Plays a pattern of load on a site.
 
+mod caller;
+mod ending;
+mod trouble;
+
 use crate::{
     event::{Event, Queue, Send},
-    host::{Ask, Host, Listing},
-    pattern::{Pattern, Trouble},
-    report::{End, Report},
+    host::{Ask, Host},
+    pattern::Pattern,
+    report::Report,
     server::{Job, Presence, Server, Taken},
     site::Site,
     variant::Variant,
 };
 use azurenotch_core::{
     request::admission::{self, Decision},
-    version::placement::{Choice, Load, Verdict},
+    version::placement::{Choice, Verdict},
 };
 use azurenotch_wire::{
     id::{Host as Name, Region},
     time::Instant,
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
-use std::{mem, time::Duration};
+use std::time::Duration;
 
 /// Time between two rounds of messages of a host.
 const ROUND: Duration = Duration::from_millis(400);
@@ -166,89 +170,6 @@
         }
     }
 
-    /// Begins a request of a caller.
-    fn next(&mut self, end: Instant) {
-        if self.now >= end {
-            return;
-        }
-        let gap = -(1.0 - self.random.random::<f64>()).ln() / (self.site.rate * self.rate);
-        let next = self.now + Duration::from_secs_f64(gap);
-        self.queue.push(next, Event::Next);
-        let centre = self.centre();
-        let leaves = if self.random.random_bool(self.leave) {
-            self.site.objective / 2
-        } else {
-            self.site.deadline
-        };
-        let abusive = self.random.random_bool(self.abuse.0);
-        let (object, work) = (self.object(centre), self.work());
-        let request = self.requests.len();
-        self.requests.push(Request {
-            object,
-            centre,
-            work,
-            begun: self.now,
-            leaves: self.now + leaves,
-            until: self.now,
-            returns: if abusive { self.abuse.1 } else { RETURNS },
-            abusive,
-            tried: Vec::new(),
-            declined: 0,
-            runs: 0,
-            current: None,
-            over: false,
-        });
-        self.approach(request, Duration::ZERO);
-    }
-
-    /// Lets a caller send a request to one of its hosts after a pause.
-    fn approach(&mut self, request: usize, pause: Duration) {
-        let centre = self.requests[request].centre;
-        let hosts = self.hosts.iter().enumerate();
-        let near: Vec<usize> = hosts
-            .filter(|(_, host)| host.centre == centre)
-            .map(|(index, _)| index)
-            .collect();
-        let host = near[self.random.random_range(0..near.len())];
-        let at = self.now + pause + self.site.access;
-        self.queue.push(at, Event::Arrive { request, host });
-    }
-
-    fn centre(&mut self) -> usize {
-        let mut left: f64 = self.random.random();
-        let centres = self.site.centres;
-        let found = centres.iter().position(|centre| {
-            left -= centre.callers;
-            left < 0.0
-        });
-        let centre = found.unwrap_or(0);
-        if centre == 0 && self.random.random_bool(self.shift) {
-            return centres.len() - 1;
-        }
-        centre
-    }
-
-    fn object(&mut self, centre: usize) -> Option<u64> {
-        if self.site.objects == 0 {
-            return None;
-        }
-        let mut number =
-            (f64::from(self.site.objects) * self.random.random::<f64>().powf(SKEW)) as u32;
-        if self.random.random_bool(self.hot) {
-            number -= number % HOT_ONE_OF;
-        }
-        // Spread over all bits, as the hash of a name is.
-        let object = (centre as u64 + 1) << 32 | u64::from(number);
-        Some(object.wrapping_mul(0x9e37_79b9_7f4a_7c15))
-    }
-
-    fn work(&mut self) -> f64 {
-        // The sum of twelve is nearly normal.
-        let sum: f64 = (0..12).map(|_| self.random.random::<f64>()).sum();
-        let factor = 1.0 + self.site.spread * (sum - 6.0);
-        self.site.work.as_secs_f64() * factor.max(0.1)
-    }
-
     fn arrive(&mut self, request: usize, host: usize) {
         let now = self.now;
         let it = &mut self.requests[request];
@@ -446,110 +367,6 @@
         );
     }
 
-    /// Lets a host learn how a send ended.
-    fn ended(&mut self, send: Send, verdict: Verdict, load: Option<Load>) {
-        let now = self.now;
-        let it = &mut self.requests[send.request];
-        if it.over || it.current != Some(send) {
-            return;
-        }
-        it.current = None;
-        let own = &mut self.hosts[send.host];
-        if let Some(load) = load {
-            own.placement.observe_load(now, send.choice.index, load);
-        }
-        let took = now.since(send.at);
-        own.placement.end(now, &send.choice, verdict, took);
-        match verdict {
-            Verdict::Answered => self.answer(send.request),
-            Verdict::Shed | Verdict::Unreachable => {
-                it.declined += 1;
-                if it.declined > DECLINED || !own.repeats(now) {
-                    let wait = admission::retry_after(Duration::ZERO, self.random.random());
-                    self.refuse(send.request, wait);
-                } else {
-                    self.dispatch(send.request, send.host);
-                }
-            }
-            Verdict::Failed | Verdict::Abandoned => {
-                it.runs += 1;
-                if it.runs < ATTEMPTS && own.repeats(now) {
-                    self.dispatch(send.request, send.host);
-                } else {
-                    self.fail(send.request);
-                }
-            }
-        }
-    }
-
-    /// Gives a send up; its caller gets its final answer at once.
-    fn expire(&mut self, send: Send) {
-        let it = &mut self.requests[send.request];
-        if it.over || it.current != Some(send) {
-            return;
-        }
-        it.current = None;
-        let took = self.now.since(send.at);
-        let placement = &mut self.hosts[send.host].placement;
-        placement.end(self.now, &send.choice, Verdict::Abandoned, took);
-        if self.now >= it.leaves {
-            self.leave(send.request);
-        } else {
-            self.fail(send.request);
-        }
-    }
-
-    fn answer(&mut self, request: usize) {
-        let it = &self.requests[request];
-        let took = (self.now + self.site.access).since(it.begun);
-        if self.now + self.site.access > it.leaves {
-            self.leave(request);
-            return;
-        }
-        let end = End::Answered {
-            ms: took.as_millis() as u64,
-            in_time: took <= self.site.objective,
-        };
-        self.end(request, end);
-    }
-
-    fn fail(&mut self, request: usize) {
-        self.end(request, End::Failed);
-    }
-
-    /// Tells a caller to come back, if it does.
-    fn refuse(&mut self, request: usize, wait: Duration) {
-        let it = &mut self.requests[request];
-        it.current = None;
-        if it.returns == 0 {
-            self.end(request, End::Refused);
-            return;
-        }
-        it.returns -= 1;
-        let pause = if it.abusive { Duration::ZERO } else { wait };
-        self.approach(request, self.site.access + pause);
-    }
-
-    /// Ends a request whose caller has left; one that left early counts for nothing.
-    fn leave(&mut self, request: usize) {
-        let it = &self.requests[request];
-        let early = it.leaves.since(it.begun) < self.site.objective;
-        if early {
-            self.requests[request].over = true;
-        } else {
-            self.end(request, End::Failed);
-        }
-    }
-
-    fn end(&mut self, request: usize, end: End) {
-        let it = &mut self.requests[request];
-        if mem::replace(&mut it.over, true) {
-            return;
-        }
-        let begun = it.begun.since(Instant::ZERO).as_secs_f64();
-        self.report.end(begun, end);
-    }
-
     /// Lets the other hosts hear of a host's loads and rate.
     fn round(&mut self, host: usize) {
         let now = self.now;
@@ -578,107 +395,4 @@
             });
         }
     }
-
-    /// Tells all hosts which servers are there.
-    fn list(&mut self) {
-        let now = self.now;
-        for (number, server) in self.servers.iter().enumerate() {
-            let present = (server.presence == Presence::Up).then_some(server.epoch);
-            if self.listed[number] == present {
-                continue;
-            }
-            self.listed[number] = present;
-            let cold = server.cold_until().since(now);
-            for host in 0..self.hosts.len() {
-                let rtt = 2 * self.between(self.hosts[host].centre, server.centre);
-                let listing = Listing {
-                    server: number,
-                    centre: server.centre,
-                    epoch: server.epoch,
-                    cold,
-                    rtt,
-                };
-                match present {
-                    Some(_) => self.hosts[host].list(now, self.site, &listing),
-                    None => self.hosts[host].unlist(number),
-                }
-            }
-        }
-    }
-
-    fn trouble(&mut self, trouble: Trouble) {
-        match trouble {
-            Trouble::Rate(factor) => self.rate = factor,
-            Trouble::Abuse(share, times) => self.abuse = (share, times),
-            Trouble::Leave(share) => self.leave = share,
-            Trouble::Hot(share) => self.hot = share,
-            Trouble::Shift(share) => self.shift = share,
-            Trouble::Slow(share, factor) => {
-                for server in self.some(share) {
-                    self.servers[server].slowness = factor;
-                }
-            }
-            Trouble::Crash(share) => {
-                let servers = self.some(share);
-                self.stop(&servers, Presence::Refusing);
-            }
-            Trouble::Dark(share) => {
-                let servers = self.some(share);
-                self.stop(&servers, Presence::Silent);
-            }
-            Trouble::Centre => {
-                let counts = self.site.centres.iter().enumerate();
-                let largest = counts.max_by_key(|(_, centre)| centre.servers);
-                let centre = largest.map_or(0, |(index, _)| index);
-                let servers = self.servers.iter().enumerate();
-                let lost: Vec<usize> = servers
-                    .filter(|(_, server)| server.centre == centre)
-                    .map(|(number, _)| number)
-                    .collect();
-                self.stop(&lost, Presence::Silent);
-            }
-            Trouble::Return => {
-                for server in &mut self.servers {
-                    if server.presence != Presence::Up {
-                        server.start(self.now);
-                    }
-                }
-                self.queue.push(self.now + APPEAR, Event::List);
-            }
-        }
-    }
-
-    fn stop(&mut self, servers: &[usize], presence: Presence) {
-        for server in servers {
-            let lost = self.servers[*server].stop(presence);
-            if presence == Presence::Silent {
-                continue;
-            }
-            for send in lost {
-                let at = self.now + self.way(send.host, *server);
-                let ended = Event::Ended {
-                    send,
-                    verdict: Verdict::Failed,
-                    load: None,
-                };
-                self.queue.push(at, ended);
-            }
-        }
-        self.queue.push(self.now + LAPSE, Event::List);
-    }
-
-    /// Picks a share of the servers that are there.
-    fn some(&mut self, share: f64) -> Vec<usize> {
-        let servers = self.servers.iter().enumerate();
-        let mut up: Vec<usize> = servers
-            .filter(|(_, server)| server.presence == Presence::Up)
-            .map(|(number, _)| number)
-            .collect();
-        let count = (share * up.len() as f64).ceil() as usize;
-        let mut picked = Vec::new();
-        while picked.len() < count && !up.is_empty() {
-            picked.push(up.swap_remove(self.random.random_range(0..up.len())));
-        }
-        picked
-    }
 }
--- a/crates/platform/src/clock.rs
+++ b/crates/platform/src/clock.rs
@@ -85,13 +85,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::{Boot, Clock};
-
-    #[test]
-    fn the_clock_of_the_system_moves_forward() {
-        let clock = Boot::new();
-        let first = clock.now();
-        assert!(clock.now() >= first);
-    }
-}
+mod tests;
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -89,22 +89,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    /// Guards against snapshot bytes that are encoded as a list of numbers, a quarter larger.
-    #[test]
-    fn a_fetched_snapshot_is_encoded_as_bytes() {
-        let fetched = Fetched::Snapshot {
-            version: Version::default(),
-            digest: Digest("0".repeat(64)),
-            bytes: vec![0xff; 10_000],
-        };
-        let encoded = rmp_serde::to_vec(&fetched).expect("the message can be encoded");
-        assert!(encoded.len() < 10_200, "{} bytes", encoded.len());
-        assert_eq!(
-            rmp_serde::from_slice::<Fetched>(&encoded).expect("decodable"),
-            fetched
-        );
-    }
-}
+mod tests;
