--- a/crates/daemon/src/connection/listener.rs
+++ b/crates/daemon/src/connection/listener.rs
@@ -2,8 +2,9 @@
 
 use crate::{
     connection::stream::{Exchange, Stream},
-    request::{gateway::Gateway, metrics::Unit},
+    request::gateway::Gateway,
 };
+use azurenotch_entry::request::reply::Unit;
 use azurenotch_wire::refusal::{Reason, Refusal};
 use hyper::{Request, body::Incoming, server::conn::http1::Builder, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
--- a/crates/daemon/src/request/gateway.rs
+++ b/crates/daemon/src/request/gateway.rs
@@ -10,7 +10,7 @@
         freshness::{Always, Freshness},
         head::timeout,
         journal::Journal,
-        metrics::{Metrics, Unit},
+        metrics::Metrics,
         refuse,
         repeat::{Records, Start, Unavailable},
         shift::{Choice, Settled, Shift},
@@ -27,6 +27,7 @@
     path,
     retry::Retry,
 };
+use azurenotch_entry::request::reply::Unit;
 use azurenotch_wire::{
     id::{DataCentre, Host, Incarnation},
     refusal::{Reason, Refusal},
--- a/crates/daemon/src/request/metrics.rs
+++ b/crates/daemon/src/request/metrics.rs
@@ -32,24 +32,6 @@
     pub in_flight: IntGauge,
 }
 
-/// One unit of a gauge, taken back when it is dropped.
-#[derive(Debug)]
-pub struct Unit(IntGauge);
-
-impl Unit {
-    /// Adds one to `gauge`.
-    pub fn new(gauge: &IntGauge) -> Self {
-        gauge.inc();
-        Self(gauge.clone())
-    }
-}
-
-impl Drop for Unit {
-    fn drop(&mut self) {
-        self.0.dec();
-    }
-}
-
 impl Metrics {
     /// Creates the counters and registers them.
     ///
