fix(entry): a stopping host refuses what it might cut

Ruled out: a shorter time for new connections (callers keep look-ups for up to 4.5 s), and refusing by the expected time (slow servers are what makes such requests long).

Change: from the announcement of a stop, a request is refused with a time to come back if the whole time of its route is not left. A longer route than 0.42 of the time for the stop needs only that much. Requests are cut 0.15 s instead of 0.3 s before the end.

Tests: admission::a_stopping_host_takes_what_it_can_end, and on the wire limit::a_stopping_host_takes_only_what_it_can_end, which gets 200 on the former code.

--- a/crates/cli/src/explain/cause.rs
+++ b/crates/cli/src/explain/cause.rs
@@ -43,6 +43,7 @@
         }
         "no-server" => "No backend server of the service might take requests.".to_owned(),
         "no-configuration" => "The host had no configuration yet.".to_owned(),
+        "leaving" => "The host was stopping and might have ended before the request.".to_owned(),
         "no-memory" => "The memory for bodies was in use by other requests.".to_owned(),
         "timeout" => format!(
             "The time of the route was over after {} ms; the answer was expected in {} ms.",
--- a/crates/core/src/request/admission.rs
+++ b/crates/core/src/request/admission.rs
@@ -23,6 +23,11 @@
 /// Range over which callers that were refused together are spread.
 const SPREAD: Duration = Duration::from_millis(300);
 
+/// Largest part of the time for a stop that a request has to have left.
+///
+/// A route whose time is longer is served after the stop was announced all the same.
+const STOP_SHARE: f64 = 0.42;
+
 /// A request at the best place for it.
 #[derive(Debug, Clone, Copy)]
 pub struct Offer {
@@ -59,6 +64,16 @@
     Decision::Refuse(retry_after(drained, spread))
 }
 
+/// Returns whether a host that is stopping takes a request that may last for `time`.
+///
+/// Load pattern: hosts are stopped in turn while callers still use look-ups that named them, and
+/// slow servers use the whole time of a route. A request that might still run when the process ends
+/// is refused while that is true, instead of being cut with an unknown outcome. `left` is the time
+/// until requests are cut, and `grace` that from the announcement of the stop.
+pub fn ends_before_stop(time: Duration, left: Duration, grace: Duration) -> bool {
+    time.min(grace.mul_f64(STOP_SHARE)) <= left
+}
+
 /// Returns when a refused caller comes back, given the time until there is room.
 pub fn retry_after(room: Duration, spread: f64) -> Duration {
     room.clamp(MIN_RETRY, MAX_RETRY) + SPREAD.mul_f64(spread.clamp(0.0, 1.0))
--- a/crates/entry/src/process/entry.rs
+++ b/crates/entry/src/process/entry.rs
@@ -30,7 +30,7 @@
 /// Share of the time for a stop in which callers may still open connections.
 const OPEN_SHARE: f64 = 0.78;
 /// Part of the time for a stop that is kept for the end of the process.
-const RESERVE: Duration = Duration::from_millis(300);
+const RESERVE: Duration = Duration::from_millis(150);
 
 /// Result of starting a host.
 pub type Result<T, E = Error> = std::result::Result<T, E>;
@@ -143,8 +143,10 @@
             stop,
         } = self;
         info!(state.log(), "entry: stopping");
-        state.leaving.store(true, Ordering::Relaxed);
         let grace = state.setting().bounds.grace.saturating_sub(RESERVE);
+        // The process stops only once.
+        let _ = state.stop.set((state.now() + grace, grace));
+        state.leaving.store(true, Ordering::Relaxed);
         let open = grace.mul_f64(OPEN_SHARE);
         sleep(open).await;
         stop_callers.cancel();
--- a/crates/entry/src/process/state.rs
+++ b/crates/entry/src/process/state.rs
@@ -34,7 +34,7 @@
 use slog::{Logger, info};
 use std::{
     sync::{
-        Arc,
+        Arc, OnceLock,
         atomic::{AtomicBool, Ordering},
     },
     time::Duration,
@@ -108,6 +108,8 @@
     pub company: Mutex<Company>,
     /// Whether a planned stop was announced.
     pub leaving: AtomicBool,
+    /// When requests are cut after a planned stop was announced, and the time from then to there.
+    pub stop: OnceLock<(Instant, Duration)>,
     /// Memory for bodies that are held as a whole.
     pub memory: Arc<Mutex<Account>>,
     place: ArcSwap<Place>,
@@ -135,6 +137,7 @@
             drift: Mutex::default(),
             company: Mutex::default(),
             leaving: AtomicBool::new(false),
+            stop: OnceLock::new(),
             setting: ArcSwap::from_pointee(setting),
         })
     }
--- a/crates/entry/src/request/gate.rs
+++ b/crates/entry/src/request/gate.rs
@@ -78,6 +78,14 @@
             Err(denial) => return deny(denial),
         };
         self.route = grant.entry.name.to_string();
+        let route = &grant.entry.route;
+        let dialect = self.state.parts.format.dialect();
+        let patience = head::patience(request.headers(), dialect);
+        let time = patience.map_or(route.timeout, |it| it.min(route.timeout));
+        if !self.ends_before_stop(time) {
+            let wait = admission::retry_after(Duration::ZERO, random());
+            return refuse(StatusCode::SERVICE_UNAVAILABLE, Reason::Leaving, wait);
+        }
         if let Some(outcome) = self.admit(&grant) {
             return outcome;
         }
@@ -89,10 +97,6 @@
             );
         };
         let (parts, body) = request.into_parts();
-        let dialect = self.state.parts.format.dialect();
-        let route = &grant.entry.route;
-        let patience = head::patience(&parts.headers, dialect);
-        let time = patience.map_or(route.timeout, |it| it.min(route.timeout));
         let deadline = self.arrived + time;
         let limit = catalog.limits.body_bytes.min(self.longest_body());
         // Held until the request has ended.
@@ -127,6 +131,15 @@
         outcome
     }
 
+    /// Returns whether a request that may last for `time` ends before this host does.
+    fn ends_before_stop(&self, time: Duration) -> bool {
+        let Some((cut, grace)) = self.state.stop.get() else {
+            return true;
+        };
+        let left = cut.since(self.arrived);
+        admission::ends_before_stop(time, left, *grace)
+    }
+
     /// Returns the token of a request that was turned away.
     fn put_back(&self, grant: &Grant) {
         if let Some(tenant) = &grant.tenant
--- a/crates/entry/src/request/reply.rs
+++ b/crates/entry/src/request/reply.rs
@@ -113,6 +113,9 @@
     /// It cannot know of withdrawn keys.
     #[display("stale-keys")]
     StaleKeys,
+    /// It stops before the request might end.
+    #[display("leaving")]
+    Leaving,
     /// The workspace is over its rate and burst.
     #[display("quota")]
     Quota,
