fix(entry): hosts pass the following of the store on as soon as it is lost

The store refused some hosts while it served the others, and those that follow it for their regions were among the refused. The others waited for 3 s before they asked themselves, above the bounds of 2.5 s and 2 s for a configuration.

Ruled out: a shorter wait of the others (a sound follower tells of a confirmation that is up to 1.8 s old, so that all would ask often), and two followers a region (twice the calls).

Change: a host says whether the store answers it, at once when that changes; hosts that it answers choose the follower among themselves.

--- a/crates/core/src/process/duty.rs
+++ b/crates/core/src/process/duty.rs
@@ -18,10 +18,20 @@
 
 /// Returns whether this host follows the store for those of its region that it hears.
 ///
+/// Load pattern: the store refuses some hosts and serves the others, and those that follow it are
+/// among the refused ones. A host that the store answers counts only others that it answers as
+/// well, so that the next one takes over as soon as it hears of the loss. A host that has lost the
+/// store counts all, so that it goes on trying if it is the first.
+///
 /// The order is that of hashes, not of names, because restarts go through hosts by name.
-pub fn follows<'a>(own: &Host, heard: impl IntoIterator<Item = &'a Host>) -> bool {
+pub fn follows<'a>(
+    own: &Host,
+    reaches: bool,
+    heard: impl IntoIterator<Item = (&'a Host, bool)>,
+) -> bool {
     let mine = rank(own);
-    heard.into_iter().all(|host| rank(host) >= mine)
+    let mut counted = heard.into_iter().filter(|(_, other)| !reaches || *other);
+    counted.all(|(host, _)| rank(host) >= mine)
 }
 
 /// Returns how long after a write has become due this host makes it, unless another one has.
--- a/crates/core/src/process/presence.rs
+++ b/crates/core/src/process/presence.rs
@@ -25,6 +25,8 @@
     pub serving: bool,
     /// Whether it is about to stop.
     pub leaving: bool,
+    /// Whether its last calls to the store were answered.
+    pub reaches_store: bool,
 }
 
 /// Other hosts with what was heard of them.
@@ -72,6 +74,12 @@
         heard.is_some_and(|heard| now.since(heard.at) < SILENT)
     }
 
+    /// Returns whether a host said that the store answers it.
+    pub fn reaches_store(&self, host: &Host) -> bool {
+        let heard = self.hosts.get(host);
+        heard.is_some_and(|heard| heard.status.reaches_store)
+    }
+
     /// Returns the hosts that were heard lately and do not leave.
     pub fn heard(&self, now: Instant) -> impl Iterator<Item = &Host> {
         let hosts = self.hosts.iter();
--- a/crates/core/src/process/presence/tests.rs
+++ b/crates/core/src/process/presence/tests.rs
@@ -4,6 +4,7 @@
     incarnation: 1,
     serving: true,
     leaving: false,
+    reaches_store: true,
 };
 
 fn presence(hosts: usize) -> Presence {
--- a/crates/entry/src/process/feed.rs
+++ b/crates/entry/src/process/feed.rs
@@ -16,7 +16,7 @@
 /// below the bound of withdrawals.
 const WAIT: Duration = Duration::from_secs(1);
 /// Time between two looks whether this host has to follow the store.
-const CHECK: Duration = Duration::from_millis(200);
+const CHECK: Duration = Duration::from_millis(100);
 /// Age of what other hosts tell from which this host asks the store itself.
 ///
 /// Below the bound of withdrawals by the time for two tries.
@@ -72,6 +72,7 @@
             match result {
                 Ok(()) => {
                     self.state.counter.store(&name, "ok");
+                    self.state.note_call(self.subject, true);
                     self.regained();
                 }
                 Err(Error::Compacted) => {
@@ -81,6 +82,7 @@
                 }
                 Err(error) => {
                     self.state.counter.store(&name, "error");
+                    self.state.note_call(self.subject, false);
                     self.lost(&error).await;
                 }
             }
--- a/crates/entry/src/process/gossip.rs
+++ b/crates/entry/src/process/gossip.rs
@@ -247,6 +247,7 @@
             peer: state.own.clone(),
             serving: state.is_ready(),
             leaving: state.is_leaving(),
+            reaches_store: state.reaches_store(),
             sent: Echo::new(state.own.incarnation, now),
             orders: Knowledge::new(now, orders),
             servers: Knowledge::new(now, servers),
@@ -298,6 +299,7 @@
             incarnation,
             serving: message.serving,
             leaving: message.leaving,
+            reaches_store: message.reaches_store,
         };
         if company.presence.hear(now, &host, status) {
             state.drift.lock().release(now);
--- a/crates/entry/src/process/message.rs
+++ b/crates/entry/src/process/message.rs
@@ -24,6 +24,8 @@
     pub(crate) peer: Peer,
     pub(crate) serving: bool,
     pub(crate) leaving: bool,
+    /// Whether its last calls to the store were answered.
+    pub(crate) reaches_store: bool,
     /// What the receiver returns in its next message.
     pub(crate) sent: Echo,
     pub(crate) orders: Knowledge,
--- a/crates/entry/src/process/state.rs
+++ b/crates/entry/src/process/state.rs
@@ -35,7 +35,7 @@
 use std::{
     sync::{
         Arc, OnceLock,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU8, Ordering},
     },
     time::Duration,
 };
@@ -110,6 +110,8 @@
     pub leaving: AtomicBool,
     /// When requests are cut after a planned stop was announced, and the time from then to there.
     pub stop: OnceLock<(Instant, Duration)>,
+    /// Subjects, a bit each, of which the last call to the store was not answered.
+    lost: AtomicU8,
     /// Memory for bodies that are held as a whole.
     pub memory: Arc<Mutex<Account>>,
     place: ArcSwap<Place>,
@@ -138,6 +140,7 @@
             company: Mutex::default(),
             leaving: AtomicBool::new(false),
             stop: OnceLock::new(),
+            lost: AtomicU8::new(0),
             setting: ArcSwap::from_pointee(setting),
         })
     }
@@ -211,7 +214,24 @@
     /// Returns whether this host follows the store for others.
     pub fn follows(&self, now: Instant) -> bool {
         let company = self.company.lock();
-        duty::follows(&self.own.host, company.near(now, &self.own.region))
+        let near = company.near(now, &self.own.region);
+        let near = near.map(|host| (host, company.presence.reaches_store(host)));
+        duty::follows(&self.own.host, self.reaches_store(), near)
+    }
+
+    /// Returns whether the last calls to the store were answered.
+    pub fn reaches_store(&self) -> bool {
+        self.lost.load(Ordering::Relaxed) == 0
+    }
+
+    /// Takes note of a call to the store about a subject; tells the others of a loss at once.
+    pub fn note_call(&self, subject: Subject, answered: bool) {
+        let bit = 1 << subject as u8;
+        if answered {
+            self.lost.fetch_and(!bit, Ordering::Relaxed);
+        } else if self.lost.fetch_or(bit, Ordering::Relaxed) == 0 {
+            self.news.notify_one();
+        }
     }
 
     /// Returns how many hosts of the region there are, this one included.
