refactor: one copy of name hashes, hop-by-hop headers, tiers, and of the test's hosts and links

The change had written again what the project had: the hop-by-hop headers of core::request::header stood in entry::request::head, the tiers of version::balance in version::placement, the hash of a name four times and its short form twice (now wire::hash, with the same values), the settings of a host twice and the proxy of the soak once more in the contract tests. A planned stop had a flag beside the moment that implies it. The putting in force of changes leaves process::state (472 lines, now 288) for process::change.

--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -57,8 +57,9 @@
     /// Other events near the request that may have a part in it.
     around: Vec<Line>,
     cause: Vec<String>,
+    /// When the request came.
     #[serde(skip)]
-    start: Option<OffsetDateTime>,
+    start: OffsetDateTime,
 }
 
 impl Story {
@@ -104,14 +105,9 @@
             before,
             course,
             cause,
-            start: Some(start),
+            start,
         })
     }
-
-    /// Returns what is known of the cause, a sentence each.
-    pub fn cause(&self) -> &[String] {
-        &self.cause
-    }
 }
 
 /// Keeps of each host the events that are nearest to the request.
@@ -141,9 +137,7 @@
             }
             writeln!(f, "\n{title}")?;
             for line in lines {
-                let offset = self
-                    .start
-                    .map_or(0.0, |start| (line.at - start).as_seconds_f64());
+                let offset = (line.at - self.start).as_seconds_f64();
                 writeln!(f, "{offset:>+10.3} s  {line}")?;
             }
         }
--- a/crates/cli/src/explain/line.rs
+++ b/crates/cli/src/explain/line.rs
@@ -5,9 +5,6 @@
 use std::fmt::{self, Display, Formatter};
 use time::{OffsetDateTime, format_description::well_known::Rfc3339};
 
-/// Fields that are shown apart from the others.
-const SHOWN: [&str; 4] = ["msg", "ts", "host", "level"];
-
 /// One line of a host's log.
 #[derive(Debug, Clone, Serialize)]
 pub struct Line {
@@ -34,7 +31,8 @@
         let at = OffsetDateTime::parse(&take("ts")?, &Rfc3339).ok()?;
         let message = take("msg")?;
         let host = take("host").unwrap_or_default();
-        fields.retain(|name, value| !SHOWN.contains(&name.as_str()) && !value.is_null());
+        fields.remove("level");
+        fields.retain(|_, value| !value.is_null());
         Some(Self {
             at,
             host,
--- a/crates/core/src/process/duty.rs
+++ b/crates/core/src/process/duty.rs
@@ -4,12 +4,8 @@
 //! tells the others. All hosts derive the same one from who is heard; while they disagree, two
 //! hosts follow the store, which does no harm.
 
-use azurenotch_wire::id::Host;
-use rustc_hash::FxHasher;
-use std::{
-    hash::{Hash, Hasher},
-    time::Duration,
-};
+use azurenotch_wire::{hash, id::Host};
+use std::time::Duration;
 
 /// Hosts that take turns at a write.
 const TURNS: u32 = 4;
@@ -46,9 +42,7 @@
 }
 
 fn rank(host: &Host) -> (u64, &Host) {
-    let mut hasher = FxHasher::default();
-    host.as_str().hash(&mut hasher);
-    (hasher.finish(), host)
+    (hash::name(host.as_str()), host)
 }
 
 #[cfg(test)]
--- a/crates/core/src/request/header.rs
+++ b/crates/core/src/request/header.rs
@@ -45,7 +45,7 @@
 }
 
 /// Removes the standard hop-by-hop headers and those that `connection` names.
-fn remove_hop_by_hop(headers: &mut HeaderMap) {
+pub fn remove_hop_by_hop(headers: &mut HeaderMap) {
     let named = headers
         .get_all(header::CONNECTION)
         .iter()
--- a/crates/core/src/version/placement/entry.rs
+++ b/crates/core/src/version/placement/entry.rs
@@ -1,17 +1,13 @@
 //! What a host knows of one backend server.
 
 use super::{Load, Query, Verdict, WARM_ELSEWHERE};
-use crate::process::warmup::Pace;
+use crate::{process::warmup::Pace, version::balance::Tier};
 use azurenotch_wire::{
-    Map,
+    Map, hash,
     id::{DataCentre, Region, Release, Server},
     time::Instant,
 };
-use rustc_hash::FxHasher;
-use std::{
-    hash::{Hash, Hasher},
-    time::Duration,
-};
+use std::time::Duration;
 
 /// Time after which half of a told load is forgotten.
 const LOAD_HALF_S: f64 = 1.5;
@@ -45,17 +41,6 @@
     Duration::from_millis(60),
 ];
 
-/// Distance of a backend server from this host; lower is nearer.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub enum Tier {
-    /// Same data centre.
-    Local,
-    /// Another data centre of the same region.
-    Region,
-    /// Another region.
-    Remote,
-}
-
 /// A backend server as the platform lists it.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Backend {
@@ -114,10 +99,8 @@
 
 impl Entry {
     pub(super) fn new(now: Instant, backend: &Backend) -> Self {
-        let mut hasher = FxHasher::default();
-        backend.server.as_str().hash(&mut hasher);
         Self {
-            hash: hasher.finish(),
+            hash: hash::name(backend.server.as_str()),
             sponsors: None,
             doubted: false,
             listed: true,
--- a/crates/core/src/version/placement/mod.rs
+++ b/crates/core/src/version/placement/mod.rs
@@ -10,7 +10,8 @@
 mod entry;
 mod estimate;
 
-pub use entry::{Backend, Tier};
+pub use crate::version::balance::Tier;
+pub use entry::Backend;
 pub use estimate::Work;
 
 use azurenotch_wire::{
--- a/crates/core/src/version/turnover.rs
+++ b/crates/core/src/version/turnover.rs
@@ -8,15 +8,12 @@
 use azurenotch_wire::{
     Map,
     evidence::{Count, Measure, Pair},
+    hash,
     id::{Host, Release, Route},
     time::Instant,
 };
-use rustc_hash::FxHasher;
 use serde::{Deserialize, Serialize};
-use std::{
-    hash::{Hash, Hasher},
-    time::Duration,
-};
+use std::time::Duration;
 
 /// Part of the permitted exposure that is used while the version is on trial.
 const TRIAL_USED: f64 = 0.7;
@@ -227,10 +224,7 @@
 }
 
 fn key(route: &Route) -> u32 {
-    let mut hasher = FxHasher::default();
-    route.as_str().hash(&mut hasher);
-    let hash = hasher.finish();
-    (hash ^ (hash >> 32)) as u32
+    hash::short(route.as_str())
 }
 
 #[cfg(test)]
--- /dev/null
+++ b/crates/entry/src/process/change.rs
@@ -0,0 +1,184 @@
+//! Puts in force what changed on the platform.
+
+use super::{
+    state::{State, limit},
+    world::Change,
+};
+use crate::{
+    model::Config,
+    version::{catalog::Catalog, fleet::Fleet},
+};
+use azurenotch_core::process::quota::{self, Quota};
+use azurenotch_wire::{
+    id::{DataCentre, Service},
+    time::Instant,
+};
+use slog::info;
+use std::{sync::Arc, time::Duration};
+
+/// Latency objective of a service to which no route leads.
+const DEFAULT_OBJECTIVE: Duration = Duration::from_secs(1);
+
+impl State {
+    /// Puts changes of the platform's rows in force.
+    pub fn apply(&self, changes: Vec<Change>, source: &str) {
+        let now = self.now();
+        for change in changes {
+            self.put(now, change, source);
+        }
+    }
+
+    fn put(&self, now: Instant, change: Change, source: &str) {
+        let log = self.log();
+        match change {
+            Change::Config(config) => self.adopt(now, &config, source),
+            Change::Move(service, version, order) => {
+                let to = order.as_ref().map(|order| order.to.to_string());
+                info!(log, "orders: move"; "service" => %service, "to" => ?to, "source" => source);
+                let exposure = self.setting().bounds.exposure;
+                let clock = self.world.lock().clock(now);
+                if let Some(fleet) = self.fleets.lock().get_mut(&service) {
+                    fleet.order(now, version, order.as_ref(), exposure);
+                    fleet.resume(now, clock);
+                }
+            }
+            Change::Outcome(service, version, outcome) => {
+                let state = outcome.as_ref().map(|outcome| outcome.state);
+                info!(log, "orders: state of move"; "service" => %service, "state" => ?state,
+                    "source" => source);
+                let clock = self.world.lock().clock(now);
+                if let Some(fleet) = self.fleets.lock().get_mut(&service) {
+                    fleet.conclude(version, outcome.as_ref());
+                    fleet.resume(now, clock);
+                }
+            }
+            Change::Evacuation(centre, on) => {
+                info!(log, "orders: evacuation"; "data-centre" => %centre, "on" => on,
+                    "source" => source);
+                self.evacuate(now, &centre, on);
+            }
+            Change::Listed(server, backend) => {
+                info!(log, "servers: listed"; "server" => %server, "service" => %backend.service,
+                    "draining" => backend.draining, "cold-ms" => backend.cold.as_millis() as u64,
+                    "source" => source);
+                let evacuated = self.world.lock().is_evacuated(&backend.data_centre);
+                if !evacuated && let Some(fleet) = self.fleets.lock().get_mut(&backend.service) {
+                    fleet.list(now, &self.place.load(), &server, &backend);
+                }
+                if !backend.cold.is_zero() {
+                    self.sponsor(now);
+                }
+            }
+            Change::Unlisted(server, service, drained) => {
+                if !drained {
+                    self.drift.lock().release(now);
+                }
+                info!(log, "servers: gone"; "server" => %server, "service" => %service,
+                    "source" => source);
+                if let Some(fleet) = self.fleets.lock().get_mut(&service) {
+                    fleet.unlist(&server);
+                }
+            }
+            Change::Peer(peer) => {
+                if peer.host != self.own.host {
+                    let mut company = self.company.lock();
+                    let newer = company
+                        .peers
+                        .get(&peer.host)
+                        .is_none_or(|known| known.incarnation < peer.incarnation);
+                    if newer {
+                        company.peers.insert(peer.host.clone(), peer);
+                    }
+                }
+            }
+        }
+    }
+
+    fn adopt(&self, now: Instant, config: &Config, source: &str) {
+        let services = self.adopt_services(now, config);
+        self.adopt_contracts(now, config);
+        self.catalog.store(Some(Arc::new(Catalog::new(config))));
+        info!(self.log(), "configuration: adopted"; "version" => config.version,
+            "routes" => config.routes.len(), "services" => services, "source" => source);
+    }
+
+    fn adopt_services(&self, now: Instant, config: &Config) -> usize {
+        let limit = limit(&self.setting());
+        let mut fleets = self.fleets.lock();
+        let mut added = false;
+        for (service, traits) in &config.services {
+            let fleet = fleets.entry(service.clone()).or_insert_with(|| {
+                added = true;
+                Fleet::new(objective(config, service), limit)
+            });
+            fleet.adopt(traits);
+        }
+        let count = fleets.len();
+        drop(fleets);
+        if added {
+            self.relist(now);
+        }
+        count
+    }
+
+    /// Tells the fleets everything again that is known of servers, orders and moves.
+    pub(super) fn relist(&self, now: Instant) {
+        let changes = self.world.lock().known();
+        for change in changes {
+            self.put(now, change, "memory");
+        }
+    }
+
+    fn adopt_contracts(&self, now: Instant, config: &Config) {
+        let mut quotas = self.quotas.lock();
+        let contracts = config.workspaces.iter().flatten();
+        for (workspace, contract) in contracts {
+            let contract = quota::Contract {
+                rate: contract.rate,
+                burst: contract.burst,
+            };
+            if let Some(quota) = quotas.get_mut(workspace) {
+                quota.adopt(now, contract);
+            } else {
+                let quota = Quota::new(now, contract, self.setting().host.is_first);
+                quotas.insert(workspace.clone(), quota);
+            }
+        }
+        quotas.retain(|workspace, _| {
+            let contracts = config.workspaces.as_ref();
+            contracts.is_some_and(|contracts| contracts.contains_key(workspace))
+        });
+    }
+
+    fn evacuate(&self, now: Instant, centre: &DataCentre, on: bool) {
+        let world = self.world.lock();
+        let backends: Vec<_> = world
+            .backends()
+            .filter(|(_, backend)| backend.data_centre == *centre)
+            .map(|(server, backend)| (server.clone(), backend.clone()))
+            .collect();
+        drop(world);
+        let mut fleets = self.fleets.lock();
+        for (server, backend) in backends {
+            let Some(fleet) = fleets.get_mut(&backend.service) else {
+                continue;
+            };
+            if on {
+                fleet.unlist(&server);
+                continue;
+            }
+            fleet.list(now, &self.place.load(), &server, &backend);
+            // Its servers may have become cold meanwhile, which only a health check tells.
+            if let Some(index) = fleet.placement.find(&server) {
+                fleet.placement.doubt(index);
+            }
+        }
+    }
+}
+
+fn objective(config: &Config, service: &Service) -> Duration {
+    let routes = config.routes.values();
+    let routes = routes.filter(|route| route.parts.iter().any(|(part, _)| part == service));
+    let objective = routes.map(|route| route.objective).min();
+    objective.unwrap_or(DEFAULT_OBJECTIVE)
+}
--- a/crates/entry/src/process/entry.rs
+++ b/crates/entry/src/process/entry.rs
@@ -15,13 +15,7 @@
 };
 use slog::{info, warn};
 use snafu::{ResultExt, Snafu};
-use std::{
-    collections::BTreeSet,
-    io,
-    net::SocketAddr,
-    sync::{Arc, atomic::Ordering},
-    time::Duration,
-};
+use std::{collections::BTreeSet, io, net::SocketAddr, sync::Arc, time::Duration};
 use tokio::{net::TcpListener, select, sync::watch, task::JoinHandle, time::sleep};
 use tokio_util::sync::CancellationToken;
 
@@ -146,7 +140,6 @@
         let grace = state.setting().bounds.grace.saturating_sub(RESERVE);
         // The process stops only once.
         let _ = state.stop.set((state.now() + grace, grace));
-        state.leaving.store(true, Ordering::Relaxed);
         let open = grace.mul_f64(OPEN_SHARE);
         sleep(open).await;
         stop_callers.cancel();
--- a/crates/entry/src/process/gossip.rs
+++ b/crates/entry/src/process/gossip.rs
@@ -8,7 +8,7 @@
     platform::Subject,
     process::{
         message::{self, Head, Knowledge, Message},
-        state::{State, short},
+        state::State,
         world::Bulletin,
     },
 };
@@ -16,7 +16,7 @@
     process::{presence::Status, quota::Count, vouch::Echo},
     version::{placement::Load, turnover::Evidence},
 };
-use azurenotch_wire::{id::Host, time::Instant};
+use azurenotch_wire::{hash::short, id::Host, time::Instant};
 use parking_lot::Mutex;
 use rand::random_range;
 use slog::{debug, info, warn};
--- a/crates/entry/src/process/mod.rs
+++ b/crates/entry/src/process/mod.rs
@@ -1,5 +1,6 @@
 //! State that lives as long as the process, and the tasks that keep it up to date.
 
+mod change;
 pub mod counter;
 pub mod directory;
 pub mod entry;
--- a/crates/entry/src/process/state.rs
+++ b/crates/entry/src/process/state.rs
@@ -1,12 +1,9 @@
 //! What requests and control tasks of one host share.
 
 use crate::{
-    model::{Config, Peer},
+    model::Peer,
     platform::{Format, Store, Subject},
-    process::{
-        counter::Counter,
-        world::{Change, World},
-    },
+    process::{counter::Counter, world::World},
     setting::Setting,
     version::{
         catalog::Catalog,
@@ -15,27 +12,22 @@
 };
 use arc_swap::{ArcSwap, ArcSwapOption, Guard};
 use azurenotch_core::{
-    process::{
-        duty,
-        presence::Presence,
-        quota::{self, Quota},
-        repeat, warmup,
-    },
+    process::{duty, presence::Presence, quota::Quota, repeat, warmup},
     request::hold::Account,
     version::drift::Drift,
 };
 use azurenotch_platform::Clock;
 use azurenotch_wire::{
-    Map,
-    id::{DataCentre, Host, Region, Service, Workspace},
+    Map, hash,
+    id::{Host, Region, Service, Workspace},
     time::Instant,
 };
 use parking_lot::Mutex;
-use slog::{Logger, info};
+use slog::Logger;
 use std::{
     sync::{
         Arc, OnceLock,
-        atomic::{AtomicBool, AtomicU8, Ordering},
+        atomic::{AtomicU8, Ordering},
     },
     time::Duration,
 };
@@ -46,9 +38,6 @@
 /// Bytes of request bodies and of whole answers that this host holds at most, all together, as a
 /// share of its memory.
 const BODIES_SHARE: f64 = 0.4;
-/// Latency objective of a service to which no route leads.
-const DEFAULT_OBJECTIVE: Duration = Duration::from_secs(1);
-
 /// Outside systems and names of a host.
 #[derive(Debug, Clone)]
 pub struct Parts {
@@ -106,15 +95,14 @@
     pub drift: Mutex<Drift>,
     /// Other hosts.
     pub company: Mutex<Company>,
-    /// Whether a planned stop was announced.
-    pub leaving: AtomicBool,
-    /// When requests are cut after a planned stop was announced, and the time from then to there.
+    /// When requests are cut and the time from the announcement of the stop until then; set when a
+    /// planned stop is announced.
     pub stop: OnceLock<(Instant, Duration)>,
     /// Subjects, a bit each, of which the last call to the store was not answered.
     lost: AtomicU8,
     /// Memory for bodies that are held as a whole.
     pub memory: Arc<Mutex<Account>>,
-    place: ArcSwap<Place>,
+    pub(super) place: ArcSwap<Place>,
 }
 
 impl State {
@@ -138,7 +126,6 @@
             news: Notify::new(),
             drift: Mutex::default(),
             company: Mutex::default(),
-            leaving: AtomicBool::new(false),
             stop: OnceLock::new(),
             lost: AtomicU8::new(0),
             setting: ArcSwap::from_pointee(setting),
@@ -187,7 +174,7 @@
 
     /// Returns whether a planned stop was announced.
     pub fn is_leaving(&self) -> bool {
-        self.leaving.load(Ordering::Relaxed)
+        self.stop.get().is_some()
     }
 
     /// Returns whether the host takes callers.
@@ -239,14 +226,6 @@
         self.company.lock().near(now, &self.own.region).count() + 1
     }
 
-    /// Puts changes of the platform's rows in force.
-    pub fn apply(&self, changes: Vec<Change>, source: &str) {
-        let now = self.now();
-        for change in changes {
-            self.put(now, change, source);
-        }
-    }
-
     /// Determines again which hosts may send to the backend servers that are cold.
     pub fn sponsor(&self, now: Instant) {
         let company = self.company.lock();
@@ -270,8 +249,8 @@
                 .listed()
                 .map(|(index, backend)| {
                     let hosts = near.get(&backend.region).unwrap_or(&all);
-                    let hash = hash(backend.server.as_str());
-                    (index, warmup::sponsors(hash, &self.own.host, hosts))
+                    let server = hash::name(backend.server.as_str());
+                    (index, warmup::sponsors(server, &self.own.host, hosts))
                 })
                 .collect();
             for (index, sponsors) in listed {
@@ -284,153 +263,6 @@
             }
         }
     }
-
-    fn put(&self, now: Instant, change: Change, source: &str) {
-        let log = self.log();
-        match change {
-            Change::Config(config) => self.adopt(now, &config, source),
-            Change::Move(service, version, order) => {
-                let to = order.as_ref().map(|order| order.to.to_string());
-                info!(log, "orders: move"; "service" => %service, "to" => ?to, "source" => source);
-                let exposure = self.setting().bounds.exposure;
-                let clock = self.world.lock().clock(now);
-                if let Some(fleet) = self.fleets.lock().get_mut(&service) {
-                    fleet.order(now, version, order.as_ref(), exposure);
-                    fleet.resume(now, clock);
-                }
-            }
-            Change::Outcome(service, version, outcome) => {
-                let state = outcome.as_ref().map(|outcome| outcome.state);
-                info!(log, "orders: state of move"; "service" => %service, "state" => ?state,
-                    "source" => source);
-                let clock = self.world.lock().clock(now);
-                if let Some(fleet) = self.fleets.lock().get_mut(&service) {
-                    fleet.conclude(version, outcome.as_ref());
-                    fleet.resume(now, clock);
-                }
-            }
-            Change::Evacuation(centre, on) => {
-                info!(log, "orders: evacuation"; "data-centre" => %centre, "on" => on,
-                    "source" => source);
-                self.evacuate(now, &centre, on);
-            }
-            Change::Listed(server, backend) => {
-                info!(log, "servers: listed"; "server" => %server, "service" => %backend.service,
-                    "draining" => backend.draining, "cold-ms" => backend.cold.as_millis() as u64,
-                    "source" => source);
-                let evacuated = self.world.lock().is_evacuated(&backend.data_centre);
-                if !evacuated && let Some(fleet) = self.fleets.lock().get_mut(&backend.service) {
-                    fleet.list(now, &self.place.load(), &server, &backend);
-                }
-                if !backend.cold.is_zero() {
-                    self.sponsor(now);
-                }
-            }
-            Change::Unlisted(server, service, drained) => {
-                if !drained {
-                    self.drift.lock().release(now);
-                }
-                info!(log, "servers: gone"; "server" => %server, "service" => %service,
-                    "source" => source);
-                if let Some(fleet) = self.fleets.lock().get_mut(&service) {
-                    fleet.unlist(&server);
-                }
-            }
-            Change::Peer(peer) => {
-                if peer.host != self.own.host {
-                    let mut company = self.company.lock();
-                    let newer = company
-                        .peers
-                        .get(&peer.host)
-                        .is_none_or(|known| known.incarnation < peer.incarnation);
-                    if newer {
-                        company.peers.insert(peer.host.clone(), peer);
-                    }
-                }
-            }
-        }
-    }
-
-    fn adopt(&self, now: Instant, config: &Config, source: &str) {
-        let services = self.adopt_services(now, config);
-        self.adopt_contracts(now, config);
-        self.catalog.store(Some(Arc::new(Catalog::new(config))));
-        info!(self.log(), "configuration: adopted"; "version" => config.version,
-            "routes" => config.routes.len(), "services" => services, "source" => source);
-    }
-
-    fn adopt_services(&self, now: Instant, config: &Config) -> usize {
-        let limit = limit(&self.setting());
-        let mut fleets = self.fleets.lock();
-        let mut added = false;
-        for (service, traits) in &config.services {
-            let fleet = fleets.entry(service.clone()).or_insert_with(|| {
-                added = true;
-                Fleet::new(objective(config, service), limit)
-            });
-            fleet.adopt(traits);
-        }
-        let count = fleets.len();
-        drop(fleets);
-        if added {
-            self.relist(now);
-        }
-        count
-    }
-
-    /// Tells the fleets everything again that is known of servers, orders and moves.
-    fn relist(&self, now: Instant) {
-        let changes = self.world.lock().known();
-        for change in changes {
-            self.put(now, change, "memory");
-        }
-    }
-
-    fn adopt_contracts(&self, now: Instant, config: &Config) {
-        let mut quotas = self.quotas.lock();
-        let contracts = config.workspaces.iter().flatten();
-        for (workspace, contract) in contracts {
-            let contract = quota::Contract {
-                rate: contract.rate,
-                burst: contract.burst,
-            };
-            if let Some(quota) = quotas.get_mut(workspace) {
-                quota.adopt(now, contract);
-            } else {
-                let quota = Quota::new(now, contract, self.setting().host.is_first);
-                quotas.insert(workspace.clone(), quota);
-            }
-        }
-        quotas.retain(|workspace, _| {
-            let contracts = config.workspaces.as_ref();
-            contracts.is_some_and(|contracts| contracts.contains_key(workspace))
-        });
-    }
-
-    fn evacuate(&self, now: Instant, centre: &DataCentre, on: bool) {
-        let world = self.world.lock();
-        let backends: Vec<_> = world
-            .backends()
-            .filter(|(_, backend)| backend.data_centre == *centre)
-            .map(|(server, backend)| (server.clone(), backend.clone()))
-            .collect();
-        drop(world);
-        let mut fleets = self.fleets.lock();
-        for (server, backend) in backends {
-            let Some(fleet) = fleets.get_mut(&backend.service) else {
-                continue;
-            };
-            if on {
-                fleet.unlist(&server);
-                continue;
-            }
-            fleet.list(now, &self.place.load(), &server, &backend);
-            // Its servers may have become cold meanwhile, which only a health check tells.
-            if let Some(index) = fleet.placement.find(&server) {
-                fleet.placement.doubt(index);
-            }
-        }
-    }
 }
 
 fn place(setting: &Setting) -> Place {
@@ -441,7 +273,8 @@
     }
 }
 
-fn limit(setting: &Setting) -> repeat::Limit {
+/// Returns the limit on repeated sends.
+pub(super) fn limit(setting: &Setting) -> repeat::Limit {
     let bounds = &setting.bounds;
     repeat::Limit {
         ratio: bounds.repeat_ratio,
@@ -449,24 +282,3 @@
         window: bounds.repeat_window,
     }
 }
-
-/// Returns the hash by which hosts agree on the sponsors of a server.
-pub(crate) fn hash(name: &str) -> u64 {
-    use std::hash::{Hash, Hasher};
-    let mut hasher = rustc_hash::FxHasher::default();
-    name.hash(&mut hasher);
-    hasher.finish()
-}
-
-/// Returns a hash of a name that fits into a datagram many times.
-pub(crate) fn short(name: &str) -> u32 {
-    let hash = hash(name);
-    (hash ^ (hash >> 32)) as u32
-}
-
-fn objective(config: &Config, service: &Service) -> Duration {
-    let routes = config.routes.values();
-    let routes = routes.filter(|route| route.parts.iter().any(|(part, _)| part == service));
-    let objective = routes.map(|route| route.objective).min();
-    objective.unwrap_or(DEFAULT_OBJECTIVE)
-}
--- a/crates/entry/src/request/forward.rs
+++ b/crates/entry/src/request/forward.rs
@@ -19,6 +19,7 @@
     },
 };
 use azurenotch_wire::{
+    hash,
     id::{Region, Release, Server, Service},
     time::Instant,
 };
@@ -403,5 +404,5 @@
 /// Returns the object of a request as a hash.
 pub(crate) fn object(headers: &HeaderMap, name: &http::HeaderName) -> Option<u64> {
     let value = headers.get(name)?.to_str().ok()?;
-    Some(crate::process::state::hash(value))
+    Some(hash::name(value))
 }
--- a/crates/entry/src/request/head.rs
+++ b/crates/entry/src/request/head.rs
@@ -1,35 +1,18 @@
 //! Headers on their way between callers and backend servers.
 
 use crate::{dialect::Dialect, version::catalog::Grant};
+use azurenotch_core::request::header::remove_hop_by_hop;
 use azurenotch_wire::id::Server;
 use http::{HeaderMap, HeaderName, HeaderValue, header};
 use std::time::Duration;
 
-/// Headers that concern only one connection.
-const HOP: [HeaderName; 9] = [
-    header::CONNECTION,
-    header::PROXY_AUTHENTICATE,
-    header::PROXY_AUTHORIZATION,
-    header::TE,
-    header::TRAILER,
-    header::TRANSFER_ENCODING,
-    header::UPGRADE,
-    header::EXPECT,
-    HeaderName::from_static("keep-alive"),
-];
+/// Time for which a connection is kept, among other things.
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
 /// Removes the headers that concern only one connection.
 pub(crate) fn strip(headers: &mut HeaderMap) {
-    let named: Vec<HeaderName> = headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .collect();
-    for name in HOP.iter().chain(&named) {
-        headers.remove(name);
-    }
+    remove_hop_by_hop(headers);
+    headers.remove(header::EXPECT);
 }
 
 /// Prepares the headers of a caller's request for all its attempts.
@@ -73,7 +56,7 @@
     if closes {
         return None;
     }
-    let named = text(&HOP[8]).and_then(|value| {
+    let named = text(&KEEP_ALIVE).and_then(|value| {
         let mut parts = value.split(',').filter_map(|part| part.split_once('='));
         let seconds = parts.find(|(name, _)| name.trim().eq_ignore_ascii_case("timeout"))?;
         seconds.1.trim().parse().ok().map(Duration::from_secs)
--- a/crates/entry/src/version/catalog.rs
+++ b/crates/entry/src/version/catalog.rs
@@ -1,12 +1,10 @@
 //! A configuration, prepared for requests.
 
-use crate::{
-    model::{Config, Contract, Limits, Route},
-    process::state::short,
-};
+use crate::model::{Config, Contract, Limits, Route};
 use azurenotch_core::request::path;
 use azurenotch_wire::{
     Map,
+    hash::short,
     id::{Region, Route as RouteName, Service, Workspace},
 };
 use http::{HeaderMap, header};
--- a/crates/model/src/engine.rs
+++ b/crates/model/src/engine.rs
@@ -43,6 +43,13 @@
 /// Skew of the popularity of objects: the exponent of the random number that picks one.
 const SKEW: f64 = 1.25;
 
+/// Share of all slots in use from which the yardstick counts cold work for more than its time.
+const PRESSURE_FROM: f64 = 0.5;
+/// Seconds that a second of cold work costs the yardstick for each unit of load above that.
+const PRESSURE: f64 = 4.0;
+/// Largest cost of a second of cold work to the yardstick, in seconds.
+const PRESSURE_MAX: f64 = 4.0;
+
 /// One request of a caller.
 #[derive(Debug)]
 struct Request {
@@ -209,13 +216,6 @@
             choice = self.known_choice(request, host, choice);
         }
         let own = &self.hosts[host];
-        let it = &self.requests[request];
-        let ask = Ask {
-            object: it.object,
-            tried: &it.tried,
-            left: it.until.since(now),
-            random,
-        };
         if let Decision::Refuse(wait) = own.admit(self.site, self.variant, &choice, &ask) {
             self.refuse(request, wait);
             return;
@@ -243,13 +243,14 @@
 
     /// Returns the place at which a request would end first, with full knowledge.
     ///
-    /// Cold work costs what it takes from the others, by the same measure as in the daemon.
+    /// Cold work costs what it takes from the others, the more the fuller all servers are.
     fn known_choice(&self, request: usize, host: usize, fallback: Choice) -> Choice {
         let it = &self.requests[request];
         let placement = &self.hosts[host].placement;
         let busy: u32 = self.servers.iter().map(|it| it.load().running).sum();
         let slots = self.servers.len() as u32 * self.site.slots;
-        let pressure = (4.0 * (f64::from(busy) / f64::from(slots) - 0.5)).clamp(0.0, 4.0);
+        let load = f64::from(busy) / f64::from(slots);
+        let pressure = (PRESSURE * (load - PRESSURE_FROM)).clamp(0.0, PRESSURE_MAX);
         let saved = it.work * self.site.gain;
         let mut best = (f64::INFINITY, fallback);
         for (index, backend) in placement.listed() {
--- a/crates/model/src/server.rs
+++ b/crates/model/src/server.rs
@@ -94,8 +94,9 @@
         self.cold_until
     }
 
-    fn takes(&self, now: Instant, job: &Job) -> Duration {
-        let saved = if self.is_warm(job.object) {
+    /// Returns the seconds that work takes, given those that it takes if nothing is warm.
+    fn seconds(&self, now: Instant, object: Option<u64>, work: f64) -> f64 {
+        let saved = if self.is_warm(object) {
             1.0 - self.site.gain
         } else {
             1.0
@@ -105,15 +106,20 @@
         } else {
             1.0
         };
-        Duration::from_secs_f64(job.work * saved * cold * self.slowness)
+        work * saved * cold * self.slowness
+    }
+
+    /// Starts a piece of work in a free slot; returns how long it takes.
+    fn run(&mut self, now: Instant, job: &Job) -> Duration {
+        let took = Duration::from_secs_f64(self.seconds(now, job.object, job.work));
+        self.running.push((now + took, job.send));
+        took
     }
 
     /// Offers a piece of work.
     pub fn offer(&mut self, now: Instant, job: Job) -> Taken {
         if (self.running.len() as u32) < self.site.slots {
-            let took = self.takes(now, &job);
-            self.running.push((now + took, job.send));
-            return Taken::Runs(took);
+            return Taken::Runs(self.run(now, &job));
         }
         if self.queue.len() >= self.site.queue {
             return Taken::Declined;
@@ -142,8 +148,7 @@
             if job.until <= now {
                 continue;
             }
-            let took = self.takes(now, &job);
-            self.running.push((now + took, job.send));
+            let took = self.run(now, &job);
             return Some((job, took));
         }
         None
@@ -173,24 +178,11 @@
             .map(|(end, _)| end.since(now).as_secs_f64())
             .collect();
         ends.resize((self.site.slots as usize).max(ends.len()), 0.0);
-        let seconds = |object: Option<u64>, work: f64| {
-            let saved = if self.is_warm(object) {
-                1.0 - self.site.gain
-            } else {
-                1.0
-            };
-            let cold = if now < self.cold_until {
-                self.site.cold_factor
-            } else {
-                1.0
-            };
-            work * saved * cold * self.slowness
-        };
         for job in &self.queue {
             let index = earliest(&ends);
-            ends[index] += seconds(job.object, job.work);
+            ends[index] += self.seconds(now, job.object, job.work);
         }
-        (ends[earliest(&ends)], seconds(object, work))
+        (ends[earliest(&ends)], self.seconds(now, object, work))
     }
 }
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod budget;
 pub mod event;
 pub mod evidence;
+pub mod hash;
 pub mod id;
 pub mod map;
 pub mod operator;
