refactor(tests): shared fixtures of the budget tests, the latency examples and the binary tests

No assertion is changed; the contract of budget_takeover names refusals of 1 % instead of 0.1 %, which no budget reads.

--- a/crates/core/tests/budget_host.rs
+++ b/crates/core/tests/budget_host.rs
@@ -1,37 +1,21 @@
 //! Rules of a host's floor and shares, one by one.
 
-use azurenotch_config::document::Contract;
+mod support;
+
 use azurenotch_core::process::budget::{Floor, Reporter, Share, Supply, Timing};
 use azurenotch_wire::{
     Map,
     budget::{Capacity, Grant},
-    id::{Host, Incarnation, Region, Workspace},
+    id::{Host, Incarnation, Region},
     refusal::Reason,
     time::Instant,
 };
-use std::{collections::BTreeMap, time::Duration};
+use std::time::Duration;
+use support::{contract, workspace};
 use test_case::test_case;
 
 const SLOTS: u32 = 4;
 
-fn workspace() -> Workspace {
-    Workspace::from("w")
-}
-
-fn contract(rate: f64, burst: f64, concurrency: u32) -> Contract {
-    Contract {
-        rate,
-        burst,
-        concurrency,
-        regional_share: BTreeMap::new(),
-        version_share_step: 0.1,
-        version_step_interval: Duration::from_secs(1),
-        latency: Duration::from_secs(1),
-        refusals: 0.01,
-        isolation_limit: Duration::from_secs(30),
-    }
-}
-
 fn at(seconds: u64) -> Instant {
     Instant::from_millis(seconds * 1_000)
 }
--- a/crates/core/tests/budget_rules.rs
+++ b/crates/core/tests/budget_rules.rs
@@ -1,5 +1,7 @@
 //! Rules of the budget ledger, one by one.
 
+mod support;
+
 use azurenotch_config::document::Contract;
 use azurenotch_core::process::budget::{
     Allocation, Entry, Floor, Ledger, Rejection, Supply, Timing, Write,
@@ -11,28 +13,11 @@
     time::Instant,
 };
 use std::{collections::BTreeMap, time::Duration};
+use support::{contract, workspace};
 use test_case::test_case;
 
 const SLOTS: u32 = 4;
 
-fn workspace() -> Workspace {
-    Workspace::from("w")
-}
-
-fn contract(rate: f64, burst: f64, concurrency: u32) -> Contract {
-    Contract {
-        rate,
-        burst,
-        concurrency,
-        regional_share: BTreeMap::new(),
-        version_share_step: 0.1,
-        version_step_interval: Duration::from_secs(1),
-        latency: Duration::from_secs(1),
-        refusals: 0.01,
-        isolation_limit: Duration::from_secs(30),
-    }
-}
-
 fn supplies(contract: &Contract) -> BTreeMap<Workspace, Supply> {
     BTreeMap::from([(workspace(), Supply::contract(&workspace(), contract, SLOTS))])
 }
--- a/crates/core/tests/budget_takeover.rs
+++ b/crates/core/tests/budget_takeover.rs
@@ -1,6 +1,7 @@
 //! Replay of a crash of the budget holder while all hosts serve within rate.
 
-use azurenotch_config::document::Contract;
+mod support;
+
 use azurenotch_core::process::{
     budget::{Allocation, Floor, Ledger, Reporter, Share, Supply, Timing, Write},
     lease,
@@ -11,6 +12,7 @@
     time::Instant,
 };
 use std::{collections::BTreeMap, time::Duration};
+use support::{contract, workspace};
 use test_case::test_case;
 
 /// Hosts, of which the first one holds the role and crashes.
@@ -19,6 +21,8 @@
 const DEMAND: u64 = 100;
 /// Rate of the contract, in requests a second.
 const RATE: f64 = 1000.0;
+/// Concurrent requests of the contract, more than ever run.
+const CONCURRENCY: u32 = 1_000;
 /// Length of one step.
 const STEP: Duration = Duration::from_millis(10);
 /// Steps between two reports of a host.
@@ -28,26 +32,12 @@
 /// End of the replay, in steps.
 const END: u64 = 5_000;
 
-fn workspace() -> Workspace {
-    Workspace::from("w")
-}
-
-fn contract() -> Contract {
-    Contract {
-        rate: RATE,
-        burst: RATE / 2.0,
-        concurrency: 1_000,
-        regional_share: BTreeMap::new(),
-        version_share_step: 0.1,
-        version_step_interval: Duration::from_secs(1),
-        latency: Duration::from_secs(1),
-        refusals: 0.001,
-        isolation_limit: Duration::from_secs(30),
-    }
-}
-
 fn supplies() -> BTreeMap<Workspace, Supply> {
-    let supply = Supply::contract(&workspace(), &contract(), HOSTS);
+    let supply = Supply::contract(
+        &workspace(),
+        &contract(RATE, RATE / 2.0, CONCURRENCY),
+        HOSTS,
+    );
     BTreeMap::from([(workspace(), supply)])
 }
 
@@ -62,7 +52,12 @@
         let incarnation = Incarnation(u64::from(slot) + 1);
         let region = Region::from("norte");
         let mut share = Share::new(Instant::ZERO);
-        let floor = Floor::new(&workspace(), &contract(), HOSTS).largest(slot);
+        let floor = Floor::new(
+            &workspace(),
+            &contract(RATE, RATE / 2.0, CONCURRENCY),
+            HOSTS,
+        )
+        .largest(slot);
         share.set_floor(Instant::ZERO, floor, Instant::from_millis(3_600_000));
         Self {
             reporter: Reporter::new(name, incarnation, slot, region, timing),
--- a/crates/daemon/examples/once.rs
+++ b/crates/daemon/examples/once.rs
@@ -4,38 +4,28 @@
 //! memory behind the platform's HTTP interface. Run with
 //! `cargo run --release -p azurenotch-daemon --example once -- [SEED]`.
 
-use azurenotch_config::{
-    document::{Access, Contract, Document, Fleet, Route, Server as Entry},
-    snapshot::{Key, KeyHash, Snapshot},
-};
+mod local;
+
 use azurenotch_daemon::{
-    connection::listener::Listener,
     process::records::Rows,
-    request::{clock::Monotonic, gateway::Gateway, repeat::Records},
+    request::{clock::Monotonic, repeat::Records},
 };
 use azurenotch_platform::http::Client;
 use azurenotch_test_support::{
     backend::{Behaviour, Server},
     platform,
 };
-use azurenotch_wire::{
-    id::Incarnation,
-    refusal::{IDEMPOTENCY_KEY, REPLAYED},
-    version::Version,
-};
+use azurenotch_wire::refusal::{IDEMPOTENCY_KEY, REPLAYED};
 use bytes::Bytes;
 use hdrhistogram::Histogram;
 use http::{Request, StatusCode, header};
 use http_body_util::{BodyExt, Empty};
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
-use prometheus::Registry;
+use local::{KEY, PATIENCE, Result};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
-use slog::{Discard, Logger, o};
 use std::{
-    collections::BTreeMap,
-    error::Error,
-    net::{Ipv4Addr, SocketAddr},
+    net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -46,24 +36,18 @@
 };
 use tokio_util::sync::CancellationToken;
 
-type Result<T, E = Box<dyn Error + Send + Sync>> = std::result::Result<T, E>;
-
 /// Numbers of concurrent requests that are measured.
 const CONCURRENCY: [usize; 2] = [1, 16];
 /// Requests of each kind in one round.
 const ROUND: usize = 800;
 /// Rounds of each kind, in random order.
 const ROUNDS: usize = 10;
-/// Longest time for one request.
-const PATIENCE: Duration = Duration::from_secs(5);
 /// Longest time for the whole run.
 const RUN: Duration = Duration::from_mins(2);
 /// Largest latency in nanoseconds that a histogram holds.
 const LARGEST: u64 = 10_000_000_000;
 /// Table writes per second, so many that the budget refuses nothing.
 const WRITES_PER_SECOND: f64 = 1e9;
-/// Key of the requests.
-const KEY: &str = "benchmark";
 
 #[tokio::main]
 async fn main() -> Result<()> {
@@ -190,77 +174,11 @@
     stop: &CancellationToken,
 ) -> Result<(SocketAddr, Arc<Rows>)> {
     let clock = Arc::new(Monotonic::new());
-    let host = "n1".into();
     let table = Arc::new(Client::new(table));
-    let rows = Rows::new(host, table, Arc::clone(&clock) as _);
+    let rows = Rows::new("n1".into(), table, Arc::clone(&clock) as _);
     let rows = Arc::new(rows.with_writes_per_second(WRITES_PER_SECOND));
-    let gateway = Gateway::new(
-        &"n1".into(),
-        Incarnation(1),
-        "lisboa".into(),
-        clock,
-        &Registry::new(),
-    )?;
-    let gateway = Arc::new(gateway.with_records(Arc::clone(&rows) as _));
-    gateway.adopt(Arc::new(snapshot(backend)));
-    let address = (Ipv4Addr::LOCALHOST, 0).into();
-    let listener = Listener::bind(address, gateway, Logger::root(Discard, o!())).await?;
-    let address = listener.address();
-    tokio::spawn(listener.run(stop.clone()));
+    let gateway = local::gateway(clock)?.with_records(Arc::clone(&rows) as _);
+    let snapshot = local::snapshot(backend, "write", "POST", false);
+    let address = local::serve(gateway, snapshot, stop).await?;
     Ok((address, rows))
 }
-
-fn snapshot(backend: SocketAddr) -> Snapshot {
-    let route = Route {
-        service: "main".into(),
-        prefix: "/write".to_owned(),
-        methods: vec!["POST".to_owned()],
-        access: Access::Keyed,
-        idempotent: false,
-        timeout: PATIENCE,
-        body_limit: 0,
-    };
-    let contract = Contract {
-        rate: 1e9,
-        burst: 1e9,
-        concurrency: 1024,
-        regional_share: BTreeMap::new(),
-        version_share_step: 0.1,
-        version_step_interval: PATIENCE,
-        latency: PATIENCE,
-        refusals: 0.01,
-        isolation_limit: PATIENCE,
-    };
-    let server = Entry {
-        service: "main".into(),
-        release: "1".into(),
-        data_centre: "lisboa".into(),
-        address: backend,
-        slots: 1024,
-        connections: 1024,
-    };
-    let key = Key {
-        workspace: "correios".into(),
-        name: "first".to_owned(),
-        withdrawn: false,
-    };
-    Snapshot {
-        version: Version {
-            epoch: 1,
-            number: 1,
-        },
-        document: Document {
-            fleet: Fleet {
-                slots: 1,
-                ..Fleet::default()
-            },
-            services: BTreeMap::from([("main".into(), "1".into())]),
-            servers: BTreeMap::from([("s1".into(), server)]),
-            routes: BTreeMap::from([("write".into(), route)]),
-            workspaces: BTreeMap::from([("correios".into(), contract)]),
-            ..Document::default()
-        },
-        keys: BTreeMap::from([(KeyHash::of(KEY.as_bytes()), key)]),
-        ..Snapshot::default()
-    }
-}
--- a/crates/daemon/examples/overhead.rs
+++ b/crates/daemon/examples/overhead.rs
@@ -3,51 +3,36 @@
 //! Both kinds alternate in the same run, each on connections that are kept open. Run with
 //! `cargo run --release -p azurenotch-daemon --example overhead -- [SEED]`.
 
-use azurenotch_config::{
-    document::{Access, Contract, Document, Fleet, Route, Server as Entry},
-    snapshot::{Key, KeyHash, Snapshot},
-};
-use azurenotch_daemon::{
-    connection::listener::Listener,
-    request::{clock::Monotonic, gateway::Gateway},
-};
+mod local;
+
+use azurenotch_daemon::request::clock::Monotonic;
 use azurenotch_test_support::backend::{Behaviour, Server};
-use azurenotch_wire::{id::Incarnation, version::Version};
 use bytes::Bytes;
 use hdrhistogram::Histogram;
 use http::{Request, StatusCode, header};
 use http_body_util::{BodyExt, Empty};
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
-use prometheus::Registry;
+use local::{KEY, PATIENCE, Result};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
-use slog::{Discard, Logger, o};
 use std::{
-    collections::BTreeMap,
-    error::Error,
-    net::{Ipv4Addr, SocketAddr},
+    net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
 use tokio::{net::TcpStream, task::JoinSet, time::timeout};
 use tokio_util::sync::CancellationToken;
 
-type Result<T, E = Box<dyn Error + Send + Sync>> = std::result::Result<T, E>;
-
 /// Numbers of concurrent requests that are measured.
 const CONCURRENCY: [usize; 3] = [1, 16, 128];
 /// Requests of each kind in one round.
 const ROUND: usize = 2_000;
 /// Rounds of each kind, in random order.
 const ROUNDS: usize = 10;
-/// Longest time for one request.
-const PATIENCE: Duration = Duration::from_secs(5);
 /// Longest time for the whole run.
 const RUN: Duration = Duration::from_mins(2);
 /// Largest latency in nanoseconds that a histogram holds.
 const LARGEST: u64 = 10_000_000_000;
-/// Key of the requests.
-const KEY: &str = "benchmark";
 
 #[tokio::main]
 async fn main() -> Result<()> {
@@ -144,74 +129,7 @@
 }
 
 async fn start(backend: SocketAddr, stop: &CancellationToken) -> Result<SocketAddr> {
-    let clock = Arc::new(Monotonic::new());
-    let gateway = Gateway::new(
-        &"n1".into(),
-        Incarnation(1),
-        "lisboa".into(),
-        clock,
-        &Registry::new(),
-    )?;
-    let gateway = Arc::new(gateway);
-    gateway.adopt(Arc::new(snapshot(backend)));
-    let address = (Ipv4Addr::LOCALHOST, 0).into();
-    let listener = Listener::bind(address, gateway, Logger::root(Discard, o!())).await?;
-    let address = listener.address();
-    tokio::spawn(listener.run(stop.clone()));
-    Ok(address)
-}
-
-fn snapshot(backend: SocketAddr) -> Snapshot {
-    let route = Route {
-        service: "main".into(),
-        prefix: "/read".to_owned(),
-        methods: vec!["GET".to_owned()],
-        access: Access::Keyed,
-        idempotent: true,
-        timeout: PATIENCE,
-        body_limit: 0,
-    };
-    let contract = Contract {
-        rate: 1e9,
-        burst: 1e9,
-        concurrency: 1024,
-        regional_share: BTreeMap::new(),
-        version_share_step: 0.1,
-        version_step_interval: PATIENCE,
-        latency: PATIENCE,
-        refusals: 0.01,
-        isolation_limit: PATIENCE,
-    };
-    let server = Entry {
-        service: "main".into(),
-        release: "1".into(),
-        data_centre: "lisboa".into(),
-        address: backend,
-        slots: 1024,
-        connections: 1024,
-    };
-    let key = Key {
-        workspace: "correios".into(),
-        name: "first".to_owned(),
-        withdrawn: false,
-    };
-    Snapshot {
-        version: Version {
-            epoch: 1,
-            number: 1,
-        },
-        document: Document {
-            fleet: Fleet {
-                slots: 1,
-                ..Fleet::default()
-            },
-            services: BTreeMap::from([("main".into(), "1".into())]),
-            servers: BTreeMap::from([("s1".into(), server)]),
-            routes: BTreeMap::from([("read".into(), route)]),
-            workspaces: BTreeMap::from([("correios".into(), contract)]),
-            ..Document::default()
-        },
-        keys: BTreeMap::from([(KeyHash::of(KEY.as_bytes()), key)]),
-        ..Snapshot::default()
-    }
+    let gateway = local::gateway(Arc::new(Monotonic::new()))?;
+    let snapshot = local::snapshot(backend, "read", "GET", true);
+    local::serve(gateway, snapshot, stop).await
 }
--- a/crates/daemon/tests/binary/main.rs
+++ b/crates/daemon/tests/binary/main.rs
@@ -1,6 +1,7 @@
 //! The daemon's binary as a process: settings, start, faults of callers, and stop.
 
 mod process;
+mod reload;
 
 use azurenotch_test_support::{
     caller::{Client, Raw},
--- a/crates/daemon/tests/reload.rs
+++ b/crates/daemon/tests/binary/reload.rs
@@ -1,12 +1,13 @@
 //! Settings of a running entry host that change with and without a signal.
 
+use crate::process::{command, write};
 use rustix::process::{Pid, Signal, kill_process};
 use std::{
     fs,
     io::{BufRead, BufReader},
     net::TcpListener,
-    path::PathBuf,
-    process::{Child, Command, Stdio},
+    path::Path,
+    process::{Child, Stdio},
     sync::mpsc::{Receiver, channel},
     thread,
     time::Duration,
@@ -21,12 +22,9 @@
 }
 
 impl Host {
-    fn start(path: &PathBuf) -> Self {
-        let mut child = Command::new(env!("CARGO_BIN_EXE_azurenotchd"))
-            .arg("entry")
-            .arg("--settings")
-            .arg(path)
-            .stdin(Stdio::null())
+    fn start(path: &Path) -> Self {
+        let path = path.to_str().expect("the path is text");
+        let mut child = command(&["entry", "--settings", path])
             .stdout(Stdio::piped())
             .spawn()
             .expect("the daemon starts");
@@ -83,11 +81,8 @@
 
 #[test]
 fn changed_settings_are_in_force_without_a_restart() {
-    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("reload");
-    fs::create_dir_all(&folder).expect("the folder can be created");
-    let path = folder.join("entry.ini");
     let text = settings();
-    fs::write(&path, &text).expect("the file can be written");
+    let path = write("reload", &text);
     let host = Host::start(&path);
     host.expect("entry: started");
     host.hang_up();
