test(core): crashes of the budget model last seconds like other faults

Cause: Fault::Crash counted its length in steps of 100 ms, so that no crash was longer than 4.5 s and a crashed holder was nearly always back before its lease lapsed. Change: a crash lasts seconds; the short form stays as Fault::Restart.

--- a/crates/core/tests/budget_model.rs
+++ b/crates/core/tests/budget_model.rs
@@ -38,6 +38,8 @@
 enum Fault {
     Demand(u32),
     Crash,
+    /// A crash after which the host starts again within seconds; the length is in steps.
+    Restart,
     Stop,
     Pause,
     Cut,
@@ -50,7 +52,7 @@
 
 /// Faults, each with its host, its length and the number of steps until the next fault.
 ///
-/// The length is in seconds, but in steps for a crash.
+/// The length is in seconds, but in steps for a restart.
 type Script = Vec<(Fault, usize, u64, u64)>;
 
 enum Message {
@@ -175,10 +177,8 @@
         let until = self.step + length * STEPS_PER_SECOND;
         match fault {
             Fault::Demand(demand) => self.nodes[host].demand = demand,
-            Fault::Crash => {
-                self.nodes[host].process = None;
-                self.nodes[host].down_until = self.step + length;
-            }
+            Fault::Crash => self.crash(host, until),
+            Fault::Restart => self.crash(host, self.step + length),
             Fault::Stop => self.stop(host, until),
             Fault::Pause => self.nodes[host].paused_until = until,
             Fault::Cut => self.nodes[host].cut_until = until,
@@ -189,6 +189,11 @@
         }
     }
 
+    fn crash(&mut self, host: usize, until: u64) {
+        self.nodes[host].process = None;
+        self.nodes[host].down_until = until;
+    }
+
     fn stop(&mut self, host: usize, until: u64) {
         let now = self.clock(host);
         let Some(mut process) = self.nodes[host].process.take() else {
@@ -593,6 +598,7 @@
     let fault = prop_oneof![
         4 => (0..12_u32).prop_map(Fault::Demand),
         2 => Just(Fault::Crash),
+        2 => Just(Fault::Restart),
         1 => Just(Fault::Stop),
         2 => Just(Fault::Pause),
         2 => Just(Fault::Cut),
