fix(daemon): a fenced write is a conflict, not a store that is down

Cause: every failed write of the head got the code store-down, also one whose role had passed to another host although the table answered. Change: Error::Superseded with the code conflict. Test: change::tests, a table of both causes.

--- a/crates/daemon/src/process/change.rs
+++ b/crates/daemon/src/process/change.rs
@@ -48,6 +48,12 @@
         /// Cause.
         source: TableError,
     },
+    /// The role under which the change was made has passed to another host.
+    #[snafu(display("the role has passed to another host; nothing was changed"))]
+    Superseded {
+        /// Cause.
+        source: TableError,
+    },
     /// A request to the object store failed; nothing was changed.
     #[snafu(display("request to the object store failed; nothing was changed"))]
     Store {
@@ -215,7 +221,7 @@
                 return resolve(current.as_ref(), head, is_ambiguous);
             }
             Err(TableError::Ambiguous { .. }) => is_ambiguous = true,
-            Err(source) if !is_ambiguous => return Err(Error::Table { source }),
+            Err(source) if !is_ambiguous => return Err(Error::of_write(source)),
             Err(_) => {}
         }
         time::sleep(RETRY_DELAY).await;
@@ -234,11 +240,19 @@
 }
 
 impl Error {
+    /// Returns the error for a write that did not take effect.
+    fn of_write(source: TableError) -> Self {
+        match source {
+            TableError::Fenced { .. } => Self::Superseded { source },
+            _ => Self::Table { source },
+        }
+    }
+
     /// Returns the error code for operators.
     pub fn code(&self) -> &'static str {
         match self {
             Self::Refused { source } => source.code(),
-            Self::Busy => "conflict",
+            Self::Busy | Self::Superseded { .. } => "conflict",
             Self::Table { .. } | Self::Store { .. } => "store-down",
             Self::Ambiguous => "unknown",
             Self::Malformed { .. } | Self::Head { .. } | Self::Missing { .. } => "malformed-store",
@@ -255,3 +269,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
