fix(entry): lines about dropped log lines name time and host

Cause: they were written by hand without ts and host, so that azurenotch explain never showed them. Change: they pass through the same encoder as other lines, beyond the bound. Test: a_stalled_reader_bounds_the_log_and_blocks_nobody asks for ts, host and kind; the former line had none of the first two.

--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -11,7 +11,7 @@
     setting::Setting,
 };
 use azurenotch_platform::clock::Boot;
-use slog::{Level, info, o, warn};
+use slog::{Level, info, warn};
 use std::{fs, io, path::Path, process::ExitCode, sync::Arc, time::Duration};
 use tokio::{
     signal::unix::{Signal, SignalKind, signal},
@@ -65,8 +65,7 @@
     setting: Setting,
     path: &Path,
 ) -> Result<(), Box<dyn std::error::Error>> {
-    let (journal, log) = Journal::open(Level::Info, io::stdout())?;
-    let log = log.new(o!("host" => setting.host.name.to_string()));
+    let (journal, log) = Journal::open(Level::Info, setting.host.name.as_str(), io::stdout())?;
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let hang_up = signal(SignalKind::hangup())?;
--- a/crates/entry/src/process/journal.rs
+++ b/crates/entry/src/process/journal.rs
@@ -4,7 +4,7 @@
 //! counted and dropped. Warnings and errors have a bound of their own and are kept until the reader
 //! resumes.
 
-use slog::{Drain, Level, Logger, Never, OwnedKVList, Record, o};
+use slog::{Drain, Level, Logger, Never, OwnedKVList, Record, o, warn};
 use std::{
     fmt::Debug,
     io::{self, Write},
@@ -36,20 +36,6 @@
     dropped: u64,
 }
 
-impl Batch {
-    /// Takes the lines, followed by one with the number of dropped lines, if any.
-    fn take(&mut self, kind: &str) -> Vec<u8> {
-        if self.dropped > 0 {
-            let dropped = mem::take(&mut self.dropped);
-            let line = format!(
-                "{{\"msg\":\"journal: dropped\",\"kind\":\"{kind}\",\"lines\":{dropped}}}\n"
-            );
-            self.bytes.extend_from_slice(line.as_bytes());
-        }
-        mem::take(&mut self.bytes)
-    }
-}
-
 /// Writer that collects the lines of one kind.
 #[derive(Debug, Clone, Default)]
 struct Sink(Arc<Mutex<Batch>>);
@@ -75,11 +61,40 @@
 /// Writer of a host's log.
 #[derive(Debug)]
 pub struct Journal {
-    usual: Sink,
-    failures: Sink,
+    usual: Stream,
+    failures: Stream,
     batches: SyncSender<Vec<u8>>,
 }
 
+/// Lines of one kind, with a logger that reports how many were dropped.
+#[derive(Debug)]
+struct Stream {
+    kind: &'static str,
+    sink: Sink,
+    reports: Logger,
+}
+
+impl Stream {
+    fn new(kind: &'static str, host: &str, bounded: &Arc<Bounded>) -> Self {
+        Self {
+            kind,
+            sink: bounded.sink.clone(),
+            reports: Logger::root(
+                Unbounded(Arc::clone(bounded)),
+                o!("host" => host.to_owned()),
+            ),
+        }
+    }
+
+    /// Adds a line with the number of dropped lines, if any.
+    fn report_dropped(&self) {
+        let dropped = mem::take(&mut self.sink.lock().dropped);
+        if dropped > 0 {
+            warn!(self.reports, "journal: dropped"; "kind" => self.kind, "lines" => dropped);
+        }
+    }
+}
+
 /// Drain for lines of one kind that drops those beyond [`MAX_BATCH_BYTES`].
 struct Bounded {
     json: Mutex<slog_json::Json<Sink>>,
@@ -101,6 +116,10 @@
             return;
         }
         drop(batch);
+        self.write(record, values);
+    }
+
+    fn write(&self, record: &Record<'_>, values: &OwnedKVList) {
         if let Ok(json) = self.json.lock() {
             // Writing to memory fails only for lines that cannot be encoded.
             drop(json.log(record, values));
@@ -108,10 +127,23 @@
     }
 }
 
+/// Drain that ignores the bound; only for reports of dropped lines.
+struct Unbounded(Arc<Bounded>);
+
+impl Drain for Unbounded {
+    type Ok = ();
+    type Err = Never;
+
+    fn log(&self, record: &Record<'_>, values: &OwnedKVList) -> Result<(), Never> {
+        self.0.write(record, values);
+        Ok(())
+    }
+}
+
 /// Drain that separates warnings and errors, so that a flood of usual lines drops none of them.
 struct Split {
-    usual: Bounded,
-    failures: Bounded,
+    usual: Arc<Bounded>,
+    failures: Arc<Bounded>,
     level: Level,
 }
 
@@ -132,27 +164,35 @@
 impl Journal {
     /// Creates a log and the thread that writes it to `output`.
     ///
+    /// Each line names `host`.
+    ///
     /// # Errors
     ///
     /// Fails if the thread cannot be started.
-    pub fn open(level: Level, output: impl Write + Send + 'static) -> io::Result<(Self, Logger)> {
-        let (usual, failures) = (Sink::default(), Sink::default());
-        let split = Split {
-            usual: Bounded::new(&usual),
-            failures: Bounded::new(&failures),
-            level,
-        };
+    pub fn open(
+        level: Level,
+        host: &str,
+        output: impl Write + Send + 'static,
+    ) -> io::Result<(Self, Logger)> {
+        let usual = Arc::new(Bounded::new(&Sink::default()));
+        let failures = Arc::new(Bounded::new(&Sink::default()));
         let (batches, waiting) = sync_channel(MAX_QUEUED_BATCHES);
         thread::Builder::new()
             .name("journal".to_owned())
             .stack_size(WRITER_STACK_BYTES)
             .spawn(move || write(&waiting, output))?;
         let journal = Self {
+            usual: Stream::new("usual", host, &usual),
+            failures: Stream::new("failures", host, &failures),
+            batches,
+        };
+        let split = Split {
             usual,
             failures,
-            batches,
+            level,
         };
-        Ok((journal, Logger::root(split, o!())))
+        let log = Logger::root(split, o!("host" => host.to_owned()));
+        Ok((journal, log))
     }
 
     /// Flushes the log at a fixed interval; never returns.
@@ -167,16 +207,17 @@
     ///
     /// If the queue is full, usual lines are dropped and failures are kept.
     pub fn flush(&self) {
-        self.enqueue(&self.failures, "failures", true);
-        self.enqueue(&self.usual, "usual", false);
+        self.enqueue(&self.failures, true);
+        self.enqueue(&self.usual, false);
     }
 
-    fn enqueue(&self, sink: &Sink, kind: &str, keeps_lines: bool) {
-        let mut batch = sink.lock();
+    fn enqueue(&self, stream: &Stream, keeps_lines: bool) {
+        stream.report_dropped();
+        let mut batch = stream.sink.lock();
         if batch.bytes.is_empty() {
             return;
         }
-        let bytes = batch.take(kind);
+        let bytes = mem::take(&mut batch.bytes);
         let Err(TrySendError::Full(bytes) | TrySendError::Disconnected(bytes)) =
             self.batches.try_send(bytes)
         else {
--- a/crates/entry/src/process/journal/tests.rs
+++ b/crates/entry/src/process/journal/tests.rs
@@ -32,7 +32,7 @@
     let (go, start) = channel();
     let (written, lines) = channel();
     let output = Stalled { start, written };
-    let (journal, log) = Journal::open(Level::Info, output).expect("a thread starts");
+    let (journal, log) = Journal::open(Level::Info, "h1", output).expect("a thread starts");
     for _ in 0..2 * MAX_QUEUED_BATCHES {
         for number in 0..2 * MAX_BATCH_BYTES / 100 {
             info!(log, "a line of some length that fills the batch"; "number" => number);
@@ -47,10 +47,12 @@
         first.len()
     );
     let text = String::from_utf8(first).expect("valid text");
-    assert!(
-        text.contains("journal: dropped"),
-        "no line reports the dropped lines"
-    );
+    let report = text.lines().find(|line| line.contains("journal: dropped"));
+    let report = report.expect("a line reports the dropped lines");
+    // Without these fields, `azurenotch explain` cannot show the line.
+    for field in ["\"ts\":", "\"host\":\"h1\"", "\"kind\":\"usual\""] {
+        assert!(report.contains(field), "{field} is missing in {report}");
+    }
 }
 
 /// Guards against warnings that are dropped when usual lines flood a stalled log.
@@ -60,7 +62,7 @@
     let (go, start) = channel();
     let (written, lines) = channel();
     let output = Stalled { start, written };
-    let (journal, log) = Journal::open(Level::Info, output).expect("a thread starts");
+    let (journal, log) = Journal::open(Level::Info, "h1", output).expect("a thread starts");
     for failure in 0..FAILURES {
         for number in 0..2 * MAX_BATCH_BYTES / 100 {
             info!(log, "a line of some length that fills the batch"; "number" => number);
