fix(entry): a peer port out of range is named with section, field and value

Cause: it was read as a 32-bit number and dropped when it did not fit, which reported section [host] as missing. Change: a checked range. Test: a_peer_port_out_of_range_is_named (65536 and 0). Nothing measured.

--- a/crates/entry/src/setting.rs
+++ b/crates/entry/src/setting.rs
@@ -200,7 +200,7 @@
     let ready = section.required("ready", errors);
     let look_ups = section.required("look-ups", errors);
     let control = section.optional("control", errors);
-    let peer_port = section.required::<u32>("peer-port", errors);
+    let peer_port = section.required_in("peer-port", 1..=u32::from(u16::MAX), errors);
     let seeds = section.optional::<List<SocketAddr>>("seeds", errors);
     let is_first = section.default("first-start", Flag(false), errors);
     Some(Host {
--- a/crates/entry/src/setting/tests.rs
+++ b/crates/entry/src/setting/tests.rs
@@ -50,6 +50,16 @@
     assert!(Setting::parse(&TEXT.replace(right, wrong)).is_err());
 }
 
+#[test_case("65536"; "too large")]
+#[test_case("0"; "zero")]
+fn a_peer_port_out_of_range_is_named(port: &str) {
+    let text = TEXT.replace("peer-port = 7460", &format!("peer-port = {port}"));
+    let error = Setting::parse(&text).expect_err("no such port").to_string();
+    for part in ["line 9", "[host]", "\"peer-port\"", port] {
+        assert!(error.contains(part), "{part} is missing in {error}");
+    }
+}
+
 /// A change of the settings while the host runs.
 struct Change {
     from: &'static str,
