fix(entry): tokens of requests without a region, memory of queued answers, cause of a closed connection

Causes: a request whose route and workspace share no region took a token of the quota and gave none back; the memory of a buffered answer was released when hyper dropped the body, while its bytes were still queued for a slow caller, and at once for the buffered part of a streamed one; a connection that closed before the write was logged as "no connection within 0 ms". Changes: the quota is the last check; the reservation lives as long as the bytes; an error of its own. Tests: a_request_without_an_allowed_region_takes_no_token fails on the former handler (1 token taken); memory_stays_reserved_until_the_last_reference_is_dropped.

--- a/crates/entry/src/connection/pool.rs
+++ b/crates/entry/src/connection/pool.rs
@@ -46,9 +46,12 @@
     /// The server did not accept the connection in time.
     #[snafu(display("no connection within {} ms", max_wait.as_millis()))]
     TimedOut {
-        /// Timeout that expired; zero if the connection closed before the request was written.
+        /// Timeout that expired.
         max_wait: Duration,
     },
+    /// The connection closed before the first byte of the request was written.
+    #[snafu(display("the connection closed before the request was written"))]
+    Closed,
     /// The socket could not be connected or configured.
     #[snafu(display("cannot connect: {source}"))]
     Connect {
--- a/crates/entry/src/request/attempt.rs
+++ b/crates/entry/src/request/attempt.rs
@@ -186,9 +186,7 @@
         }
         Exchanged::NotSent => {
             attempt.end(Verdict::Abandoned);
-            Ending::Unsent(pool::Error::TimedOut {
-                max_wait: Duration::ZERO,
-            })
+            Ending::Unsent(pool::Error::Closed)
         }
         Exchanged::Broken(reason) => {
             state.slew.lock().record_failure(state.now());
@@ -300,7 +298,8 @@
             || reservation.grow(buffer.len() as u64).is_err()
         {
             let in_flight = GaugeGuard::new(&state.metrics.in_flight);
-            let stream = Stream::new(buffer.freeze(), body, lease, in_flight);
+            let buffered = reservation.hold(buffer.freeze());
+            let stream = Stream::new(buffered, body, lease, in_flight);
             let body = Body::Stream(Box::new(stream));
             return Ending::Answered(crate::request::reply::from_server(
                 parts.status,
@@ -315,7 +314,7 @@
     if !head_only {
         parts.headers.remove(header::CONTENT_LENGTH);
     }
-    let body = Body::Whole(Full::new(buffer.freeze()), Some(reservation));
+    let body = Body::Whole(Full::new(reservation.hold(buffer.freeze())));
     Ending::Answered(crate::request::reply::from_server(
         parts.status,
         parts.headers,
--- a/crates/entry/src/request/handler.rs
+++ b/crates/entry/src/request/handler.rs
@@ -79,6 +79,9 @@
             Err(denial) => return deny(denial),
         };
         self.route = grant.entry.name.to_string();
+        if let Some(workspace) = &grant.workspace {
+            self.workspace = workspace.name.to_string();
+        }
         let route = &grant.entry.route;
         let protocol = self.state.dependencies.format.protocol();
         let caller_timeout = head::caller_timeout(request.headers(), protocol);
@@ -87,9 +90,6 @@
             let wait = admission::retry_after(Duration::ZERO, random());
             return refuse(StatusCode::SERVICE_UNAVAILABLE, Reason::Leaving, wait);
         }
-        if let Some(outcome) = self.admit(&grant) {
-            return outcome;
-        }
         let Some(allowed_regions) = grant.allowed_regions() else {
             return refuse(
                 StatusCode::SERVICE_UNAVAILABLE,
@@ -97,6 +97,10 @@
                 STALE_KEYS_RETRY_DELAY,
             );
         };
+        // Last of the checks, because it takes a token of the quota.
+        if let Some(outcome) = self.admit(&grant) {
+            return outcome;
+        }
         let (parts, body) = request.into_parts();
         let deadline = self.arrived + timeout;
         let limit = catalog.limits.body_bytes.min(self.max_body_bytes());
@@ -173,9 +177,8 @@
     }
 
     /// Checks the age of the keys and the quota; returns the outcome if the request is refused.
-    fn admit(&mut self, grant: &Grant) -> Option<Outcome> {
+    fn admit(&self, grant: &Grant) -> Option<Outcome> {
         let workspace = grant.workspace.as_ref()?;
-        self.workspace = workspace.name.to_string();
         let now = self.arrived;
         if !self.state.trusts_keys(now) {
             let wait = admission::retry_after(STALE_KEYS_RETRY_DELAY, random());
--- a/crates/entry/src/request/memory.rs
+++ b/crates/entry/src/request/memory.rs
@@ -1,6 +1,7 @@
 //! Memory reservations for bodies that are buffered as a whole.
 
 use azurenotch_core::request::body_memory::{Account, Exhausted};
+use bytes::Bytes;
 use parking_lot::Mutex;
 use std::sync::Arc;
 
@@ -36,6 +37,32 @@
         self.bytes += additional;
         Ok(())
     }
+
+    /// Binds the reservation to `bytes`: it is released with the last reference to them.
+    ///
+    /// A connection may keep a body's bytes queued for its caller after the body itself is dropped.
+    #[must_use]
+    pub fn hold(self, bytes: Bytes) -> Bytes {
+        if bytes.is_empty() {
+            return bytes;
+        }
+        Bytes::from_owner(Held {
+            bytes,
+            _reservation: self,
+        })
+    }
+}
+
+/// Bytes with the reservation of their memory.
+struct Held {
+    bytes: Bytes,
+    _reservation: Reservation,
+}
+
+impl AsRef<[u8]> for Held {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
 }
 
 impl Drop for Reservation {
@@ -43,3 +70,6 @@
         self.account.lock().release(self.bytes);
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/entry/src/request/reply.rs
+++ b/crates/entry/src/request/reply.rs
@@ -1,6 +1,6 @@
 //! Answers to callers.
 
-use crate::{connection::pool::Lease, request::memory::Reservation};
+use crate::connection::pool::Lease;
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Response, StatusCode, header};
 use http_body::{Body as HttpBody, Frame, SizeHint};
@@ -16,8 +16,8 @@
 /// Body of an answer.
 #[derive(Debug)]
 pub enum Body {
-    /// Complete body, with the reservation of its memory; `None` if it needs none.
-    Whole(Full<Bytes>, Option<Reservation>),
+    /// Complete body.
+    Whole(Full<Bytes>),
     /// Body that a backend server is still sending.
     Stream(Box<Stream>),
 }
@@ -81,7 +81,7 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
         match self.get_mut() {
-            Self::Whole(body, _) => Pin::new(body)
+            Self::Whole(body) => Pin::new(body)
                 .poll_frame(cx)
                 .map_err(|never| match never {}),
             Self::Stream(stream) => match stream.buffered.take() {
@@ -93,14 +93,14 @@
 
     fn is_end_stream(&self) -> bool {
         match self {
-            Self::Whole(body, _) => body.is_end_stream(),
+            Self::Whole(body) => body.is_end_stream(),
             Self::Stream(stream) => stream.buffered.is_none() && stream.rest.is_end_stream(),
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            Self::Whole(body, _) => body.size_hint(),
+            Self::Whole(body) => body.size_hint(),
             Self::Stream(stream) => stream.hint,
         }
     }
@@ -151,7 +151,7 @@
 ///
 /// `retry_after` is sent as the `Retry-After` header in seconds with two decimals.
 pub fn from_host(status: StatusCode, retry_after: Option<Duration>) -> Response<Body> {
-    let mut response = Response::new(Body::Whole(Full::default(), None));
+    let mut response = Response::new(Body::Whole(Full::default()));
     *response.status_mut() = status;
     if let Some(wait) = retry_after {
         let text = format!("{:.2}", wait.as_secs_f64());
