fix(core): quotas hold while hosts lose one another and a workspace turns hot

Change: a host admits at most its own part of the tokens until most hosts have echoed its counts (Presence::reach, checked every 100 ms); the part of a host of which a message is missing (1.35 rounds) is set aside, tokens as well as rate, and returned with its next report. Parts follow the demand that all hosts know of, over 3 s.

--- a/crates/core/src/process/echo.rs
+++ b/crates/core/src/process/echo.rs
@@ -27,16 +27,23 @@
         }
     }
 
+    /// Returns when this host sent the message, in whole milliseconds.
+    ///
+    /// Returns `None` for an echo of an earlier incarnation and for times in the future.
+    pub fn sent_at(self, now: Instant, incarnation: u64) -> Option<Instant> {
+        let sent = Instant::from_millis(self.sent_ms);
+        (self.incarnation == incarnation && sent <= now).then_some(sent)
+    }
+
     /// Returns the time on this host's clock up to which the peer's data is confirmed.
     ///
     /// `age` is the age of the data that the peer reported. Returns `None` for an echo of an
     /// earlier incarnation, because the clock restarts with the process, and for times in the
     /// future or before the start of the process.
     pub fn confirmed_at(self, now: Instant, incarnation: u64, age: Duration) -> Option<Instant> {
-        let sent = Instant::from_millis(self.sent_ms);
+        let sent = self.sent_at(now, incarnation)?;
         // `Instant` cannot represent times before the start of the process.
-        let is_representable = sent <= now && age <= sent.since(Instant::ZERO);
-        (self.incarnation == incarnation && is_representable).then(|| sent - age)
+        (age <= sent.since(Instant::ZERO)).then(|| sent - age)
     }
 }
 
--- a/crates/core/src/process/presence.rs
+++ b/crates/core/src/process/presence.rs
@@ -4,7 +4,7 @@
 //! look-ups within seconds, but its share of the contracts stays reserved for longer, because it
 //! may be partitioned and still serve callers.
 
-use azurenotch_wire::{Map, id::Host, time::Instant};
+use azurenotch_wire::{Map, Set, id::Host, time::Instant};
 use std::time::Duration;
 
 /// Time without a status after which a host is unreachable and not named in look-ups.
@@ -18,6 +18,17 @@
 /// Time without a status after which a host's share is free if most hosts are unreachable.
 const MINORITY_HOST_REMOVAL_TIMEOUT: Duration = Duration::from_mins(1);
 
+/// Time without a status, as a multiple of the time between two messages, after which at least one
+/// message is missing.
+///
+/// Rounds are up to a tenth longer than usual, and a message takes up to 40 ms to another region.
+const MISSING_AFTER_ROUNDS: f64 = 1.35;
+
+/// Returns the time without a status after which at least one message of a host is missing.
+pub fn missing_after(round: Duration) -> Duration {
+    round.mul_f64(MISSING_AFTER_ROUNDS)
+}
+
 /// Status that a host reports of itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Status {
@@ -41,6 +52,21 @@
 struct Report {
     received: Instant,
     status: Status,
+    /// Time at which this host sent the newest message that the other one has received.
+    confirmed: Option<Instant>,
+}
+
+/// Contact between this host and the others.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Reach {
+    /// Number of hosts, including this one and unreachable ones.
+    pub hosts: usize,
+    /// Hosts of which at least one message is missing.
+    pub silent: Set<Host>,
+    /// Time at which this host sent the newest message that most hosts have received.
+    ///
+    /// `None` if there is none. A host that is cut off from most others cannot advance it.
+    pub confirmed: Option<Instant>,
 }
 
 impl Presence {
@@ -55,6 +81,7 @@
                 *report = Report {
                     received: now,
                     status,
+                    confirmed: report.confirmed.filter(|_| !restarted),
                 };
                 restarted
             }
@@ -64,6 +91,7 @@
                     Report {
                         received: now,
                         status,
+                        confirmed: None,
                     },
                 );
                 true
@@ -71,6 +99,31 @@
         }
     }
 
+    /// Records that a host has received the message that this host sent at `sent`.
+    pub fn on_confirmation(&mut self, host: &Host, sent: Instant) {
+        if let Some(report) = self.hosts.get_mut(host) {
+            report.confirmed = report.confirmed.max(Some(sent));
+        }
+    }
+
+    /// Returns the contact with the other hosts; one without a status for `silence` is silent.
+    pub fn reach(&self, now: Instant, silence: Duration) -> Reach {
+        let silent = self.hosts.iter();
+        let silent = silent.filter(|(_, report)| now.since(report.received) >= silence);
+        let mut confirmed: Vec<_> = self.hosts.values().map(|report| report.confirmed).collect();
+        confirmed.sort_unstable_by(|one, other| other.cmp(one));
+        // With this host, more than half of all hosts have received the message.
+        let needed = self.count() / 2;
+        Reach {
+            hosts: self.count(),
+            silent: silent.map(|(host, _)| host.clone()).collect(),
+            confirmed: match needed {
+                0 => Some(now),
+                needed => confirmed[needed - 1],
+            },
+        }
+    }
+
     /// Returns whether callers may be sent to a host.
     pub fn is_serving(&self, now: Instant, host: &Host) -> bool {
         self.hosts.get(host).is_some_and(|report| {
--- a/crates/core/src/process/quota.rs
+++ b/crates/core/src/process/quota.rs
@@ -6,13 +6,23 @@
 //! reports it assumes that another host admits all its requests while there are tokens, and its
 //! part of the rate in proportion to its demand while there are none. Otherwise all hosts together
 //! would exceed the contract by what they admit during the delay of the reports.
+//!
+//! Two rules keep hosts within the contract that are cut off from one another, before they can
+//! know it. A host admits no more than its own part of the tokens until most hosts have received
+//! the counts. And the part of a host of which a message is missing is set aside until it is heard
+//! again or counts as gone. Parts follow the demand that all hosts know of.
 
+use crate::process::presence::Reach;
 use azurenotch_wire::{Map, id::Host, time::Instant};
 use serde::{Deserialize, Serialize};
-use std::time::Duration;
+use std::{collections::VecDeque, time::Duration};
 
 /// Time constant of the moving average of the demand at a host, in seconds.
 const DEMAND_TIME_CONSTANT_S: f64 = 0.8;
+/// Time constant of the moving average of the demand by which tokens are divided, in seconds.
+///
+/// Longer than that of the demand, so that the part of a host with few requests varies little.
+const PART_TIME_CONSTANT_S: f64 = 3.0;
 /// Lower limit of the time between two reports from which a rate is computed, in seconds.
 const MIN_REPORT_INTERVAL_S: f64 = 0.02;
 /// Time after the last request during which counts are reported.
@@ -23,6 +33,30 @@
 const MAX_EXTRAPOLATION: Duration = Duration::from_secs(2);
 /// Tokens of a host that starts while others may have used the burst, in seconds of the rate.
 const RESTART_TOKENS_S: f64 = 0.25;
+/// Demand that all hosts together count as having in addition, as a share of the rate.
+///
+/// It divides the tokens equally while little is asked, and keeps a part for hosts without requests.
+const EQUAL_DEMAND: f64 = 0.4;
+/// Requests that a host may admit beyond its part before most hosts have received its counts.
+const UNCONFIRMED_SLACK: f64 = 3.0;
+/// Multiple of the standard deviation of its usual requests that a host may admit in addition.
+///
+/// Requests arrive independently of each other, so their number in a short time varies by its root.
+const UNCONFIRMED_DEVIATIONS: f64 = 3.0;
+/// Longest time for which usual requests vary; counts are usually confirmed sooner.
+const MAX_DEVIATION_TIME: Duration = Duration::from_secs(1);
+/// Share of the tokens that counts for a host's part before most hosts have received its counts.
+///
+/// The other hosts may use all tokens before they miss a message, so the rest makes up for that.
+const UNCONFIRMED_TOKEN_SHARE: f64 = 0.2;
+/// Longest time for which a host's part of the rate is added up without a confirmation.
+///
+/// The other hosts use that part themselves after [`Presence::remove_expired`].
+///
+/// [`Presence::remove_expired`]: crate::process::presence::Presence::remove_expired
+const MAX_UNCONFIRMED_TIME: Duration = Duration::from_secs(8);
+/// Sent counts that are remembered until most hosts have received them.
+const MAX_ROUNDS: usize = 8;
 /// Shortest wait that is asked of a refused caller.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
 /// Longest wait that is asked of a refused caller.
@@ -41,8 +75,6 @@
 #[derive(Debug, Clone)]
 pub struct Quota {
     contract: Contract,
-    /// Share of the contract, from 0 to 1, that this host and those it reaches may use together.
-    share: f64,
     tokens: f64,
     updated: Instant,
     count: Count,
@@ -50,6 +82,26 @@
     demand: f64,
     demand_at: Instant,
     others: Map<Host, RemoteUsage>,
+    /// Number of all hosts, this one included.
+    hosts: usize,
+    /// Parts of all silent hosts together, from 0 to 1.
+    silent_part: f64,
+    /// Counts that were sent and that most hosts may not have received yet, oldest first.
+    rounds: VecDeque<Round>,
+    /// Newest counts that most hosts have received.
+    confirmed: Round,
+    /// Long-term average rate of requests at this host as of the confirmed counts, per second.
+    confirmed_demand: f64,
+    /// Part of the tokens, from 0 to 1, that this host may use without a confirmation.
+    own_part: f64,
+}
+
+/// State of the bucket when its counts were sent to the other hosts.
+#[derive(Debug, Clone, Copy)]
+struct Round {
+    sent: Instant,
+    count: Count,
+    tokens: f64,
 }
 
 /// Requests of a workspace at one host since the start of the process.
@@ -64,13 +116,18 @@
 /// Last report of another host and the estimate since then.
 #[derive(Debug, Clone)]
 struct RemoteUsage {
-    incarnation: u64,
+    /// Incarnation of the last report; `None` before the first one.
+    incarnation: Option<u64>,
     count: Count,
     reported: Instant,
     /// Average rate of requests at that host, per second.
     demand: f64,
-    /// Tokens taken since the last report for requests that the host is assumed to have admitted.
+    /// Long-term average of that rate, per second.
+    usual_demand: f64,
+    /// Tokens taken since the last report for requests that the host may have admitted.
     assumed: f64,
+    /// Part of the tokens and the rate that is set aside while the host is silent.
+    silent_part: Option<f64>,
 }
 
 impl Quota {
@@ -85,13 +142,22 @@
         };
         Self {
             contract,
-            share: 1.0,
             tokens: start,
             updated: now,
             count: Count::default(),
             demand: 0.0,
             demand_at: now,
             others: Map::default(),
+            hosts: 1,
+            silent_part: 0.0,
+            rounds: VecDeque::new(),
+            confirmed: Round {
+                sent: now,
+                count: Count::default(),
+                tokens: start,
+            },
+            confirmed_demand: 0.0,
+            own_part: 1.0,
         }
     }
 
@@ -101,14 +167,44 @@
         let added = (contract.burst - self.contract.burst).max(0.0);
         self.contract = contract;
         self.tokens = (self.tokens + added).min(contract.burst);
+        self.confirmed.tokens = self.confirmed.tokens.min(contract.burst);
     }
 
-    /// Sets the share of the contract that this host and those it reaches may use together.
-    ///
-    /// `share` is limited to 0 to 1.
-    pub fn set_share(&mut self, now: Instant, share: f64) {
+    /// Records that the counts are sent to all other hosts.
+    pub fn on_sent(&mut self, now: Instant) {
         self.refill(now);
-        self.share = share.clamp(0.0, 1.0);
+        if self.rounds.len() == MAX_ROUNDS {
+            self.rounds.pop_front();
+        }
+        self.rounds.push_back(Round {
+            sent: now,
+            count: self.count,
+            tokens: self.tokens,
+        });
+    }
+
+    /// Takes in which hosts are silent and which of the sent counts most hosts have received.
+    pub fn on_reach(&mut self, now: Instant, reach: &Reach) {
+        self.refill(now);
+        self.hosts = reach.hosts.max(1);
+        if let Some(sent) = reach.confirmed {
+            self.confirm(sent);
+        }
+        for (host, other) in &mut self.others {
+            let is_back = other.silent_part.is_some() && !reach.silent.contains(host);
+            if is_back {
+                // A report has already returned these tokens, unless the host has none to send.
+                other.silent_part = None;
+                self.tokens += std::mem::take(&mut other.assumed);
+            }
+        }
+        for host in &reach.silent {
+            self.set_aside(now, host);
+        }
+        let parts = self.others.values().filter_map(|it| it.silent_part);
+        self.silent_part = parts.sum::<f64>().min(1.0);
+        self.own_part = self.part(self.confirmed_demand, self.known_demand());
+        self.tokens = self.tokens.min(self.max_tokens());
     }
 
     /// Takes one token.
@@ -124,13 +220,14 @@
         if self.contract.rate <= 0.0 {
             return Ok(());
         }
-        if self.tokens >= 1.0 {
+        let lacking = (1.0 - self.tokens).max(self.unconfirmed_lack(now));
+        if lacking <= 0.0 {
             self.tokens -= 1.0;
             self.count.admitted += 1;
             return Ok(());
         }
-        let rate = (self.contract.rate * self.share).max(f64::MIN_POSITIVE);
-        let wait = ((1.0 - self.tokens) / rate).min(MAX_RETRY_AFTER.as_secs_f64());
+        let rate = (self.contract.rate * (1.0 - self.silent_part)).max(f64::MIN_POSITIVE);
+        let wait = (lacking / rate).min(MAX_RETRY_AFTER.as_secs_f64());
         Err(Duration::from_secs_f64(wait).max(MIN_RETRY_AFTER))
     }
 
@@ -159,36 +256,30 @@
     /// Records the counts that another host reported since its start.
     pub fn on_report(&mut self, now: Instant, host: &Host, incarnation: u64, count: Count) {
         self.refill(now);
-        let Some(other) = self.others.get_mut(host) else {
+        let others = self.others.entry(host.clone());
+        let other = others.or_insert_with(|| RemoteUsage::new(None, count, now));
+        match other.incarnation {
             // Requests admitted before the first report are not taken from the bucket.
-            let other = RemoteUsage {
-                incarnation,
-                count,
-                reported: now,
-                demand: 0.0,
-                assumed: 0.0,
-            };
-            self.others.insert(host.clone(), other);
-            return;
-        };
-        if other.incarnation != incarnation {
-            other.count = Count::default();
-            other.incarnation = incarnation;
+            None => other.count = count,
+            Some(known) if known != incarnation => other.count = Count::default(),
+            Some(_) => {}
         }
+        other.incarnation = Some(incarnation);
         let before = other.count;
-        let elapsed = now
-            .since(other.reported)
-            .as_secs_f64()
-            .max(MIN_REPORT_INTERVAL_S);
-        let weight = (elapsed / DEMAND_TIME_CONSTANT_S).min(1.0);
-        let asked = count.asked.saturating_sub(before.asked) as f64;
-        other.demand += weight * (asked / elapsed - other.demand);
+        let elapsed = now.since(other.reported);
+        let requests = Requests {
+            elapsed,
+            before,
+            after: count,
+        };
+        other.demand = requests.average(other.demand, DEMAND_TIME_CONSTANT_S);
+        other.usual_demand = requests.average(other.usual_demand, PART_TIME_CONSTANT_S);
         // The difference is negative if requests were refunded since the last report.
         let admitted = count.admitted as f64 - before.admitted as f64;
-        self.tokens = (self.tokens - admitted + other.assumed).min(self.contract.burst);
-        other.assumed = 0.0;
+        let assumed = std::mem::take(&mut other.assumed);
         other.count = count;
         other.reported = now;
+        self.tokens = (self.tokens - admitted + assumed).min(self.contract.burst);
     }
 
     /// Drops the reports of a host that is gone.
@@ -204,6 +295,77 @@
         self.demand_at = now;
     }
 
+    /// Returns how many tokens the next request exceeds this host's part by; not positive if none.
+    ///
+    /// Counts what was admitted since the counts that most hosts have received. The part includes
+    /// the rate since then.
+    fn unconfirmed_lack(&self, now: Instant) -> f64 {
+        if self.hosts == 1 {
+            return 0.0;
+        }
+        let Round {
+            sent,
+            count,
+            tokens,
+        } = self.confirmed;
+        let elapsed = now.since(sent);
+        let usual = self.confirmed_demand * elapsed.min(MAX_DEVIATION_TIME).as_secs_f64();
+        let slack = UNCONFIRMED_SLACK + UNCONFIRMED_DEVIATIONS * usual.sqrt();
+        let elapsed = elapsed.min(MAX_UNCONFIRMED_TIME).as_secs_f64();
+        let pool = UNCONFIRMED_TOKEN_SHARE * tokens.max(0.0) + self.contract.rate * elapsed;
+        let unconfirmed = self.count.admitted as f64 - count.admitted as f64;
+        unconfirmed + 1.0 - (pool * self.own_part + slack)
+    }
+
+    /// Returns the demand at all hosts, this one's as far as most others know it.
+    fn known_demand(&self) -> f64 {
+        let others = self.others.values().map(|it| it.usual_demand);
+        self.confirmed_demand + others.sum::<f64>()
+    }
+
+    /// Records that most hosts have received the counts that were sent at `sent`.
+    fn confirm(&mut self, sent: Instant) {
+        // Echoes have whole milliseconds.
+        let end = sent + Duration::from_millis(1);
+        while let Some(round) = self.rounds.pop_front_if(|round| round.sent < end) {
+            let requests = Requests {
+                elapsed: round.sent.since(self.confirmed.sent),
+                before: self.confirmed.count,
+                after: round.count,
+            };
+            self.confirmed_demand = requests.average(self.confirmed_demand, PART_TIME_CONSTANT_S);
+            self.confirmed = round;
+        }
+    }
+
+    /// Sets the part of a host aside that has become silent.
+    fn set_aside(&mut self, now: Instant, host: &Host) {
+        let known = self.others.get(host);
+        if known.is_some_and(|it| it.silent_part.is_some()) {
+            return;
+        }
+        let demand = known.map_or(0.0, |it| it.usual_demand);
+        let part = self.part(demand, self.known_demand());
+        let others = self.others.entry(host.clone());
+        let other = others.or_insert_with(|| RemoteUsage::new(None, Count::default(), now));
+        other.silent_part = Some(part);
+        let moved = part * (self.tokens + other.assumed).max(0.0) - other.assumed;
+        other.assumed += moved;
+        self.tokens -= moved;
+    }
+
+    /// Returns the part, from 0 to 1, of a host with `demand` of `total` at all hosts.
+    fn part(&self, demand: f64, total: f64) -> f64 {
+        let hosts = self.hosts as f64;
+        let equal = (EQUAL_DEMAND * self.contract.rate).max(f64::MIN_POSITIVE);
+        (demand + equal / hosts) / (total + equal)
+    }
+
+    /// Returns the largest number of tokens of this host and those that it hears.
+    fn max_tokens(&self) -> f64 {
+        self.contract.burst * (1.0 - self.silent_part)
+    }
+
     fn refill(&mut self, now: Instant) {
         let from = self.updated;
         if now.since(from).is_zero() {
@@ -211,23 +373,60 @@
         }
         self.updated = now;
         let Contract { rate, burst } = self.contract;
-        let rate = rate * self.share;
-        let total: f64 = self.demand + self.others.values().map(|it| it.demand).sum::<f64>();
+        let elapsed = now.since(from).as_secs_f64();
+        let free_rate = rate * (1.0 - self.silent_part);
+        let heard = self.others.values().filter(|it| it.silent_part.is_none());
+        let total: f64 = self.demand + heard.map(|it| it.demand).sum::<f64>();
         // Without tokens the hosts share the rate in proportion to their demand.
         let admitted = if self.tokens >= 1.0 {
             1.0
         } else {
-            (rate / total.max(f64::MIN_POSITIVE)).min(1.0)
+            (free_rate / total.max(f64::MIN_POSITIVE)).min(1.0)
         };
-        let mut gained = now.since(from).as_secs_f64() * rate;
+        let mut gained = elapsed * rate;
         for other in self.others.values_mut() {
-            let end = other.reported + MAX_EXTRAPOLATION;
-            let until = if now < end { now } else { end };
-            let taken = until.since(from).as_secs_f64() * other.demand * admitted;
+            let taken = if let Some(part) = other.silent_part {
+                elapsed * rate * part
+            } else {
+                let end = other.reported + MAX_EXTRAPOLATION;
+                let until = if now < end { now } else { end };
+                until.since(from).as_secs_f64() * other.demand * admitted
+            };
             other.assumed += taken;
             gained -= taken;
         }
-        self.tokens = (self.tokens + gained).clamp(-burst - rate, burst);
+        self.tokens = (self.tokens + gained).clamp(-burst - rate, self.max_tokens());
+    }
+}
+
+impl RemoteUsage {
+    fn new(incarnation: Option<u64>, count: Count, reported: Instant) -> Self {
+        Self {
+            incarnation,
+            count,
+            reported,
+            demand: 0.0,
+            usual_demand: 0.0,
+            assumed: 0.0,
+            silent_part: None,
+        }
+    }
+}
+
+/// Requests between two reports of a host.
+struct Requests {
+    elapsed: Duration,
+    before: Count,
+    after: Count,
+}
+
+impl Requests {
+    /// Returns the moving average of the rate that was `former` before them.
+    fn average(&self, former: f64, time_constant_s: f64) -> f64 {
+        let elapsed = self.elapsed.as_secs_f64().max(MIN_REPORT_INTERVAL_S);
+        let weight = (elapsed / time_constant_s).min(1.0);
+        let asked = self.after.asked.saturating_sub(self.before.asked) as f64;
+        former + weight * (asked / elapsed - former)
     }
 }
 
--- a/crates/core/src/process/quota/tests.rs
+++ b/crates/core/src/process/quota/tests.rs
@@ -1,7 +1,9 @@
 //! Simulations of one workspace that sends more than its contract to many hosts.
 
 use super::{Contract, Count, Quota};
+use crate::process::presence::Reach;
 use azurenotch_wire::{id::Host, time::Instant};
+use std::time::Duration;
 use test_case::test_case;
 
 const CONTRACT: Contract = Contract {
@@ -35,13 +37,27 @@
         .collect();
     let mut admitted = Vec::new();
     let mut owed = vec![0.0; case.hosts];
+    let mut confirmed = vec![Instant::ZERO; case.hosts];
     for now_ms in (0..20_000).step_by(STEP_MS as usize) {
         let now = Instant::from_millis(now_ms);
         let cut = |i: usize| i < case.cut && (3_000..8_000).contains(&now_ms);
         for (i, quota) in quotas.iter_mut().enumerate() {
-            let reachable = (0..case.hosts).filter(|j| cut(*j) == cut(i)).count();
-            let group = if cut(i) { 1 } else { reachable };
-            quota.set_share(now, group as f64 / case.hosts as f64);
+            if now_ms % case.report_ms == 0 {
+                let silent = |j: &usize| *j != i && (cut(i) || cut(*j));
+                let silent = (0..case.hosts).filter(silent).map(|j| names[j].clone());
+                if !cut(i) {
+                    confirmed[i] = now - Duration::from_millis(case.report_ms);
+                }
+                quota.on_reach(
+                    now,
+                    &Reach {
+                        hosts: case.hosts,
+                        silent: silent.collect(),
+                        confirmed: Some(confirmed[i]),
+                    },
+                );
+                quota.on_sent(now);
+            }
             owed[i] += case.per_host * STEP_MS as f64 / 1000.0;
             while owed[i] >= 1.0 {
                 owed[i] -= 1.0;
--- a/crates/entry/src/process/gossip.rs
+++ b/crates/entry/src/process/gossip.rs
@@ -13,7 +13,11 @@
     },
 };
 use azurenotch_core::{
-    process::{echo::Echo, presence::Status, quota::Count},
+    process::{
+        echo::Echo,
+        presence::{self, Status},
+        quota::Count,
+    },
     version::{cutover::Evidence, placement::Load},
 };
 use azurenotch_wire::{hash::hash32, id::Host, time::Instant};
@@ -48,6 +52,8 @@
 const UPDATE_SUBJECTS: [Subject; 2] = [Subject::Orders, Subject::Servers];
 /// Age up to which the load of a backend server is sent.
 const MAX_LOAD_AGE: Duration = Duration::from_millis(700);
+/// Time between two checks for missing messages.
+const REACH_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Sender and receiver of gossip messages.
 #[derive(Debug)]
@@ -94,6 +100,7 @@
         select! {
             () = stop.cancelled() => {}
             () = self.send_rounds() => {}
+            () = self.watch_reach() => {}
             () = self.receive(newer_peers) => {}
         }
     }
@@ -105,14 +112,8 @@
             let targets = self.targets(first);
             first = false;
             self.send_round(&targets).await;
-            let round = BASE_ROUND_INTERVAL
-                * u32::try_from(targets.len() / HOSTS_PER_BASE_ROUND)
-                    .unwrap_or(1)
-                    .max(1);
             // Jitter keeps hosts that started together from sending together.
-            let round = round
-                .min(MAX_ROUND_INTERVAL)
-                .mul_f64(random_range(0.9..1.1));
+            let round = round_interval(targets.len()).mul_f64(random_range(0.9..1.1));
             sleep(MIN_ROUND_INTERVAL).await;
             select! {
                 () = sleep(round.saturating_sub(MIN_ROUND_INTERVAL)) => {}
@@ -122,6 +123,26 @@
         }
     }
 
+    /// Tells the quotas which hosts are silent and which counts have arrived, whenever that changes.
+    async fn watch_reach(&self) {
+        let mut last = None;
+        loop {
+            sleep(REACH_INTERVAL).await;
+            let now = self.state.now();
+            let membership = self.state.membership.lock();
+            let silence = presence::missing_after(round_interval(membership.presence.count()));
+            let reach = membership.presence.reach(now, silence);
+            drop(membership);
+            if last.as_ref() == Some(&reach) {
+                continue;
+            }
+            for quota in self.state.quotas.lock().values_mut() {
+                quota.on_reach(now, &reach);
+            }
+            last = Some(reach);
+        }
+    }
+
     async fn send_round(&self, targets: &[(Option<Host>, SocketAddr)]) {
         let body = match rmp_serde::to_vec(&self.message()) {
             Ok(body) => body,
@@ -196,7 +217,6 @@
             self.echoes.lock().remove(host);
         }
         for quota in self.state.quotas.lock().values_mut() {
-            quota.set_share(now, share);
             for host in &removed {
                 quota.forget(host);
             }
@@ -231,12 +251,13 @@
             UPDATE_SUBJECTS.map(|subject| replica.recent_update(now, subject, MAX_FACTS_PER_UPDATE))
         });
         drop(replica);
-        let usage = state.quotas.lock();
-        let usage = usage
-            .iter()
-            .filter(|(_, quota)| quota.is_active(now))
-            .map(|(workspace, quota)| (hash32(workspace.as_str()), quota.count()))
-            .collect();
+        let mut usage = Vec::new();
+        for (workspace, quota) in state.quotas.lock().iter_mut() {
+            quota.on_sent(now);
+            if quota.is_active(now) {
+                usage.push((hash32(workspace.as_str()), quota.count()));
+            }
+        }
         let mut evidence = Vec::new();
         let mut loads = Vec::new();
         let mut rates = Vec::new();
@@ -324,6 +345,12 @@
             info!(state.log(), "hosts: peer joined or restarted"; "peer" => %host,
                 "incarnation" => incarnation);
         }
+        if let Some(sent) = head
+            .echo
+            .and_then(|echo| echo.sent_at(now, state.own.incarnation))
+        {
+            membership.presence.on_confirmation(&host, sent);
+        }
         let address = message.peer.address;
         let is_near = message.peer.region == state.own.region;
         membership.peers.insert(host.clone(), message.peer);
@@ -452,6 +479,12 @@
     }
 }
 
+/// Returns the usual time between two rounds in a system of `hosts` hosts.
+fn round_interval(hosts: usize) -> Duration {
+    let factor = u32::try_from(hosts / HOSTS_PER_BASE_ROUND).unwrap_or(1);
+    (BASE_ROUND_INTERVAL * factor.max(1)).min(MAX_ROUND_INTERVAL)
+}
+
 /// Age of a host's last confirmation above which its own feed counts as cut off from the store.
 ///
 /// It then requests updates from a newer peer.
