feat(entry): idempotent requests of one connection run together

Weighed: serving in turn as before; a server of our own on httparse; looking at the bytes on their way to hyper, which keeps framing, order and closing. Change: the last one. connection::pipeline starts up to eight requests behind the current one if all of them are idempotent and have neither a body nor anything about the connection; a header whose end another reader might see elsewhere ends the search. A stop answers what was started, a caller that leaves cancels all.

--- a/crates/entry/src/connection/listener.rs
+++ b/crates/entry/src/connection/listener.rs
@@ -1,10 +1,14 @@
 //! Accepts callers' connections and serves HTTP/1 on each of them.
 
 use crate::{
-    connection::phase::{self, Tracker},
+    connection::{
+        phase::{self, Tracker},
+        pipeline::Pipeline,
+    },
     process::state::State,
-    request::{handler, reply::GaugeGuard},
+    request::reply::GaugeGuard,
 };
+use http::{HeaderValue, header};
 use hyper::{Request, body::Incoming, server::conn::http1::Builder, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use slog::{debug, info, warn};
@@ -98,25 +102,39 @@
         .header_read_timeout(idle_timeout)
         .max_buf_size(READ_BUFFER_BYTES.max(max_header_bytes));
     let log = state.log().clone();
+    let (pipeline, stream) = Pipeline::new(stream, &state, READ_BUFFER_BYTES.max(max_header_bytes));
     let stream = phase::Stream::new(stream, &tracker);
-    let request_tracker = tracker.clone();
+    let (request_tracker, requests) = (tracker.clone(), pipeline.clone());
     let service = service_fn(move |request: Request<Incoming>| {
-        let state = Arc::clone(&state);
-        let guard = request_tracker.begin_request();
+        let (state, requests) = (Arc::clone(&state), requests.clone());
+        let phase = request_tracker.begin_request();
         async move {
-            let answer = handler::handle(&state, request).await;
-            Ok::<_, Infallible>(answer.map(|body| phase::Answer::new(body, guard)))
+            let (mut answer, pending) = requests.answer(request).await;
+            if state.is_leaving() && !requests.has_started() {
+                let close = HeaderValue::from_static("close");
+                answer.headers_mut().insert(header::CONNECTION, close);
+            }
+            Ok::<_, Infallible>(answer.map(|body| phase::Answer::new(body, (phase, pending))))
         }
     });
     let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
     let mut header_deadline: Option<Pin<Box<Sleep>>> = None;
     let mut stopping = false;
+    let mut closing = false;
     loop {
         // The phase changes only while the connection is polled, so checking it here is enough.
         let polled = poll_fn(|cx| {
+            // Closing drops the requests behind the current one, so those that run come first.
+            if stopping && !closing && !pipeline.has_started() {
+                closing = true;
+                connection.as_mut().graceful_shutdown();
+            }
             if let Poll::Ready(ended) = connection.as_mut().poll(cx) {
                 return Poll::Ready(Some(ended));
             }
+            if pipeline.poll_ahead(cx).is_ready() {
+                return Poll::Ready(Some(Ok(())));
+            }
             let Some(since) = tracker.header_since() else {
                 header_deadline = None;
                 return Poll::Pending;
@@ -139,7 +157,6 @@
             }
             () = stop.cancelled(), if !stopping => {
                 stopping = true;
-                connection.as_mut().graceful_shutdown();
             }
         }
     }
--- a/crates/entry/src/connection/mod.rs
+++ b/crates/entry/src/connection/mod.rs
@@ -2,4 +2,5 @@
 
 pub mod listener;
 pub mod phase;
+pub mod pipeline;
 pub mod pool;
--- a/crates/entry/src/connection/phase.rs
+++ b/crates/entry/src/connection/phase.rs
@@ -134,22 +134,22 @@
 
 /// Body of an answer; its request ends when the body has been written and is dropped.
 #[derive(Debug)]
-pub struct Answer<B> {
+pub struct Answer<B, G> {
     body: B,
-    _guard: Guard,
+    _guards: G,
 }
 
-impl<B> Answer<B> {
-    /// Wraps a body that holds `guard` until it is dropped.
-    pub fn new(body: B, guard: Guard) -> Self {
+impl<B, G> Answer<B, G> {
+    /// Wraps a body that holds `guards` until it is dropped.
+    pub fn new(body: B, guards: G) -> Self {
         Self {
             body,
-            _guard: guard,
+            _guards: guards,
         }
     }
 }
 
-impl<B: Body + Unpin> Body for Answer<B> {
+impl<B: Body + Unpin, G: Unpin> Body for Answer<B, G> {
     type Data = B::Data;
     type Error = B::Error;
 
--- /dev/null
+++ b/crates/entry/src/connection/pipeline.rs
@@ -0,0 +1,296 @@
+//! Requests that a caller sends before the answer to its last one (HTTP pipelining).
+//!
+//! Load pattern: a caller sends several idempotent requests at once on one connection. Served in
+//! turn, each would wait for the work of all before it, which alone is longer than its objective.
+//!
+//! The HTTP library stays in charge of the connection: it reads every byte, answers in order and
+//! closes. This module looks at the bytes on their way to the library. It starts a request that
+//! stands behind others at once, if that request and all before it may run more than once, and
+//! keeps its answer until the library asks for it.
+
+mod scanner;
+
+use crate::{
+    process::state::State,
+    request::{
+        handler,
+        reply::{self, Body},
+    },
+};
+use azurenotch_wire::time::Instant;
+use bytes::{Buf, Bytes, BytesMut};
+use http::{Request, Response, StatusCode};
+use http_body_util::Empty;
+use hyper::body::Incoming;
+use parking_lot::Mutex;
+use scanner::Scanner;
+use slog::warn;
+use std::{
+    collections::VecDeque,
+    io,
+    pin::Pin,
+    sync::Arc,
+    task::{Context, Poll},
+};
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    net::{
+        TcpStream,
+        tcp::{OwnedReadHalf, OwnedWriteHalf},
+    },
+};
+use tokio_util::task::AbortOnDropHandle;
+
+/// Maximum number of requests behind the current one that run at the same time.
+///
+/// While so many wait for their turn, the connection is not read ahead of the library.
+const MAX_PENDING: usize = 8;
+/// Maximum number of bytes of one connection that are read before the library takes them.
+const MAX_AHEAD_BYTES: usize = 16 * 1024;
+/// Size of one read ahead of the library, in bytes.
+const READ_BYTES: usize = 4 * 1024;
+
+/// Unanswered requests of one connection, shared by its stream and its service.
+#[derive(Debug, Clone)]
+pub struct Pipeline(Arc<Mutex<Inner>>);
+
+#[derive(Debug)]
+struct Inner {
+    state: Arc<State>,
+    reader: OwnedReadHalf,
+    /// Bytes that were read before the library asked for them.
+    ahead: BytesMut,
+    /// Whether the caller has closed its side of the connection.
+    ended: bool,
+    scanner: Scanner,
+    /// Whether the request that the library handles may run more than once; `None` without one.
+    current: Option<bool>,
+    /// Requests behind the current one, in order.
+    pending: VecDeque<Pending>,
+}
+
+/// Request whose header was read and that the library has not yet asked for.
+#[derive(Debug)]
+struct Pending {
+    request: Request<()>,
+    arrived: Instant,
+    repeatable: bool,
+    /// Whether it may be started before the library asks for it.
+    plain: bool,
+    started: Option<AbortOnDropHandle<Response<Body>>>,
+}
+
+/// Marks the current request as answered when it is dropped.
+#[derive(Debug)]
+pub struct Guard(Pipeline);
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        let mut inner = self.0.0.lock();
+        inner.current = None;
+        inner.advance();
+    }
+}
+
+impl Pipeline {
+    /// Creates the pipeline and the stream of a connection.
+    ///
+    /// A request header of more than `max_header_bytes` ends the search for further requests.
+    pub fn new(stream: TcpStream, state: &Arc<State>, max_header_bytes: usize) -> (Self, Stream) {
+        let (reader, writer) = stream.into_split();
+        let inner = Inner {
+            state: Arc::clone(state),
+            reader,
+            ahead: BytesMut::new(),
+            ended: false,
+            scanner: Scanner::new(max_header_bytes),
+            current: None,
+            pending: VecDeque::new(),
+        };
+        let pipeline = Self(Arc::new(Mutex::new(inner)));
+        let stream = Stream {
+            pipeline: pipeline.clone(),
+            writer,
+        };
+        (pipeline, stream)
+    }
+
+    /// Answers a request of the library, which may have been started before.
+    ///
+    /// Returns also the guard of the request, to be dropped when its answer has been written.
+    pub async fn answer(&self, request: Request<Incoming>) -> (Response<Body>, Guard) {
+        let (state, pending) = {
+            let mut inner = self.0.lock();
+            let pending = inner.take(&request);
+            (Arc::clone(&inner.state), pending)
+        };
+        let guard = Guard(self.clone());
+        let arrived = pending
+            .as_ref()
+            .map_or_else(|| state.now(), |it| it.arrived);
+        let response = match pending.and_then(|it| it.started) {
+            Some(started) => started.await.unwrap_or_else(|error| {
+                warn!(state.log(), "callers: request failed"; "error" => %error);
+                reply::from_host(StatusCode::BAD_GATEWAY, None)
+            }),
+            None => handler::handle(&state, request, arrived).await,
+        };
+        (response, guard)
+    }
+
+    /// Returns whether a request behind the current one has been started.
+    ///
+    /// The connection must not be closed before it has been answered.
+    pub fn has_started(&self) -> bool {
+        let inner = self.0.lock();
+        inner.pending.iter().any(|it| it.started.is_some())
+    }
+
+    /// Reads ahead of the library while a request is unanswered.
+    ///
+    /// Ready when the caller has closed the connection.
+    pub fn poll_ahead(&self, cx: &mut Context<'_>) -> Poll<()> {
+        let mut inner = self.0.lock();
+        while inner.current.is_some()
+            && inner.pending.len() < MAX_PENDING
+            && inner.ahead.len() < MAX_AHEAD_BYTES
+        {
+            if inner.ended {
+                return Poll::Ready(());
+            }
+            let mut bytes = [0; READ_BYTES];
+            let mut buffer = ReadBuf::new(&mut bytes);
+            match Pin::new(&mut inner.reader).poll_read(cx, &mut buffer) {
+                Poll::Pending => return Poll::Pending,
+                Poll::Ready(Ok(())) if !buffer.filled().is_empty() => {
+                    inner.ahead.extend_from_slice(buffer.filled());
+                    inner.scan(buffer.filled());
+                }
+                Poll::Ready(_) => inner.ended = true,
+            }
+        }
+        Poll::Pending
+    }
+}
+
+impl Inner {
+    /// Looks for request headers in bytes that the library has not seen before.
+    fn scan(&mut self, bytes: &[u8]) {
+        let arrived = self.state.now();
+        let catalog = self.state.catalog.load();
+        for seen in self.scanner.scan(bytes) {
+            let repeatable = catalog.as_ref().is_none_or(|catalog| {
+                let grant = handler::grant(&self.state, catalog, &seen.request);
+                // A request that is not allowed does not run at all.
+                grant.map_or(true, |grant| grant.entry.route.kind.is_repeatable())
+            });
+            self.pending.push_back(Pending {
+                request: seen.request,
+                arrived,
+                repeatable,
+                plain: seen.plain,
+                started: None,
+            });
+        }
+        self.advance();
+    }
+
+    /// Takes the request that the library asks for.
+    fn take(&mut self, request: &Request<Incoming>) -> Option<Pending> {
+        let pending = self.pending.pop_front();
+        let same = |it: &Pending| {
+            it.request.method() == request.method()
+                && it.request.uri() == request.uri()
+                && it.request.headers() == request.headers()
+        };
+        let found = pending.filter(same);
+        if found.is_none() {
+            // The scanner and the library disagree, so only the library is right from here on.
+            self.pending.clear();
+            self.scanner.stop();
+        }
+        self.current = Some(found.as_ref().is_some_and(|it| it.repeatable));
+        self.advance();
+        found
+    }
+
+    /// Starts the requests that may run at the same time as those before them.
+    fn advance(&mut self) {
+        if self.current != Some(true) || self.state.is_leaving() {
+            return;
+        }
+        for pending in self.pending.iter_mut().take(MAX_PENDING) {
+            if !pending.repeatable || !pending.plain {
+                return;
+            }
+            if pending.started.is_some() {
+                continue;
+            }
+            let (parts, ()) = pending.request.clone().into_parts();
+            let request = Request::from_parts(parts, Empty::<Bytes>::new());
+            let (state, arrived) = (Arc::clone(&self.state), pending.arrived);
+            let task = tokio::spawn(async move { handler::handle(&state, request, arrived).await });
+            pending.started = Some(AbortOnDropHandle::new(task));
+        }
+    }
+}
+
+/// Stream of a caller's connection, which hands the bytes that were read ahead to the library.
+#[derive(Debug)]
+pub struct Stream {
+    pipeline: Pipeline,
+    writer: OwnedWriteHalf,
+}
+
+impl AsyncRead for Stream {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let mut inner = self.pipeline.0.lock();
+        if !inner.ahead.is_empty() {
+            let length = buffer.remaining().min(inner.ahead.len());
+            buffer.put_slice(&inner.ahead[..length]);
+            inner.ahead.advance(length);
+            return Poll::Ready(Ok(()));
+        }
+        if inner.ended {
+            return Poll::Ready(Ok(()));
+        }
+        let before = buffer.filled().len();
+        let polled = Pin::new(&mut inner.reader).poll_read(cx, buffer);
+        inner.scan(&buffer.filled()[before..]);
+        polled
+    }
+}
+
+impl AsyncWrite for Stream {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.get_mut().writer).poll_write(cx, bytes)
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        parts: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.get_mut().writer).poll_write_vectored(cx, parts)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.writer.is_write_vectored()
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().writer).poll_flush(cx)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().writer).poll_shutdown(cx)
+    }
+}
--- a/crates/entry/src/request/handler.rs
+++ b/crates/entry/src/request/handler.rs
@@ -14,8 +14,9 @@
 };
 use azurenotch_core::request::admission;
 use azurenotch_wire::time::Instant;
-use http::{HeaderValue, Request, Response, StatusCode, header};
-use hyper::body::Incoming;
+use bytes::Bytes;
+use http::{Request, Response, StatusCode, header};
+use http_body::Body as HttpBody;
 use rand::random;
 use slog::{info, o, warn};
 use std::{sync::Arc, time::Duration};
@@ -29,9 +30,11 @@
 /// Largest request body, as a share of the host's memory.
 const MAX_BODY_MEMORY_SHARE: f64 = 0.25;
 
-/// Handles one request and returns the answer to the caller.
-pub async fn handle(state: &Arc<State>, request: Request<Incoming>) -> Response<Body> {
-    let arrived = state.now();
+/// Handles one request, whose header arrived at `arrived`, and returns the answer to the caller.
+pub async fn handle<B>(state: &Arc<State>, request: Request<B>, arrived: Instant) -> Response<Body>
+where
+    B: HttpBody<Data = Bytes> + Unpin,
+{
     let _in_flight = GaugeGuard::new(&state.metrics.in_flight);
     let protocol = state.dependencies.format.protocol();
     let id = request.headers().get(&protocol.request_id);
@@ -45,12 +48,20 @@
         version: 0,
     };
     let outcome = exchange.answer(request).await;
-    let mut response = exchange.finish(outcome);
-    if state.is_leaving() {
-        let close = HeaderValue::from_static("close");
-        response.headers_mut().insert(header::CONNECTION, close);
-    }
-    response
+    exchange.finish(outcome)
+}
+
+/// Returns the route and the workspace of a request.
+///
+/// # Errors
+///
+/// Returns why the configuration does not allow the request.
+pub fn grant<B>(state: &State, catalog: &Catalog, request: &Request<B>) -> Result<Grant, Denial> {
+    let headers = request.headers();
+    let host = headers.get(header::HOST);
+    let host = host.and_then(|host| host.to_str().ok()).unwrap_or("");
+    let protocol = state.dependencies.format.protocol();
+    catalog.grant(host, request.uri().path(), headers, protocol.scheme)
 }
 
 /// Request being handled, with the fields of its log line.
@@ -65,7 +76,10 @@
 
 impl Exchange<'_> {
     /// Checks the request and forwards it unless a check fails.
-    async fn answer(&mut self, request: Request<Incoming>) -> Outcome {
+    async fn answer<B>(&mut self, request: Request<B>) -> Outcome
+    where
+        B: HttpBody<Data = Bytes> + Unpin,
+    {
         let Some(catalog) = self.state.catalog.load_full() else {
             return refuse(
                 StatusCode::SERVICE_UNAVAILABLE,
@@ -74,7 +88,7 @@
             );
         };
         self.version = catalog.version;
-        let grant = match self.grant(&catalog, &request) {
+        let grant = match grant(self.state, &catalog, &request) {
             Ok(grant) => grant,
             Err(denial) => return deny(denial),
         };
@@ -167,15 +181,6 @@
         refuse(status, reason, wait)
     }
 
-    /// Returns the route and the workspace of the request.
-    fn grant(&self, catalog: &Catalog, request: &Request<Incoming>) -> Result<Grant, Denial> {
-        let headers = request.headers();
-        let host = headers.get(header::HOST);
-        let host = host.and_then(|host| host.to_str().ok()).unwrap_or("");
-        let protocol = self.state.dependencies.format.protocol();
-        catalog.grant(host, request.uri().path(), headers, protocol.scheme)
-    }
-
     /// Checks the age of the keys and the quota; returns the outcome if the request is refused.
     fn admit(&self, grant: &Grant) -> Option<Outcome> {
         let workspace = grant.workspace.as_ref()?;
--- a/crates/entry/src/request/upload.rs
+++ b/crates/entry/src/request/upload.rs
@@ -4,9 +4,8 @@
 use azurenotch_core::request::body_memory;
 use bytes::{Bytes, BytesMut};
 use http::StatusCode;
-use http_body::Body as _;
+use http_body::Body;
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use snafu::Snafu;
 use std::time::Duration;
 use tokio::time::timeout;
@@ -61,12 +60,15 @@
 ///
 /// Fails at once if the declared length is too large or there is no memory for it, and later if the
 /// body turns out too large, exceeds the memory, is incomplete or takes too long.
-pub(crate) async fn collect(
-    mut body: Incoming,
+pub(crate) async fn collect<B>(
+    mut body: B,
     reservation: &mut Reservation,
     limit: u64,
     max_wait: Duration,
-) -> Result<Bytes> {
+) -> Result<Bytes>
+where
+    B: Body<Data = Bytes> + Unpin,
+{
     if body.is_end_stream() {
         return Ok(Bytes::new());
     }
