feat(entry): one host reads the store for all, and moves are read by one host

One host in each region polled two tables, every host read all rows at the first start although it waits ten seconds for callers, every host read the states of a move twice a second while it lasted, and all wrote the state of a bad version at once. Change: one reader for all regions; at the first start of the whole system one host reads and the others get the rows from it; the first writer reads the states of moves and messages carry them on; hosts that are no writers write a bad version's state only if it stays unknown for 1.5 s. A host answers a new one at once, serves its rows to sixteen hosts at a time and refuses the others, who ask again; messages find workspaces and servers by hash instead of comparing all with all. A fault of the store that the reader reports frees moves between regions everywhere. contact-s and adoption-s are in use now (unreachable hosts, a feed that is cut off).

--- a/crates/core/src/process/presence.rs
+++ b/crates/core/src/process/presence.rs
@@ -7,8 +7,10 @@
 use azurenotch_wire::{Map, Set, id::Host, time::Instant};
 use std::time::Duration;
 
-/// Time without a status after which a host is unreachable and not named in look-ups.
-pub const UNREACHABLE_AFTER: Duration = Duration::from_secs(2);
+/// Longest time without a status until a host is unreachable and not named in look-ups.
+const MAX_UNREACHABLE_AFTER: Duration = Duration::from_secs(2);
+/// Share of the contact bound after which a host without a status is unreachable.
+const UNREACHABLE_CONTACT_SHARE: f64 = 0.66;
 /// Time without a status after which a host's share of the contracts is free, if most hosts are
 /// reachable.
 ///
@@ -43,9 +45,19 @@
 }
 
 /// Other hosts with the last status that each reported.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct Presence {
     hosts: Map<Host, Report>,
+    unreachable_after: Duration,
+}
+
+impl Default for Presence {
+    fn default() -> Self {
+        Self {
+            hosts: Map::default(),
+            unreachable_after: MAX_UNREACHABLE_AFTER,
+        }
+    }
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -70,6 +82,12 @@
 }
 
 impl Presence {
+    /// Sets the time from the last contact within which a lost host must not be named any more.
+    pub fn set_contact_bound(&mut self, bound: Duration) {
+        let share = bound.mul_f64(UNREACHABLE_CONTACT_SHARE);
+        self.unreachable_after = share.min(MAX_UNREACHABLE_AFTER);
+    }
+
     /// Records the status that a host reported; returns whether the host is new or was restarted.
     ///
     /// A status of an earlier incarnation changes nothing.
@@ -126,18 +144,19 @@
 
     /// Returns whether callers may be sent to a host.
     pub fn is_serving(&self, now: Instant, host: &Host) -> bool {
+        let limit = self.unreachable_after;
         self.hosts.get(host).is_some_and(|report| {
             let Status {
                 serving, leaving, ..
             } = report.status;
-            serving && !leaving && now.since(report.received) < UNREACHABLE_AFTER
+            serving && !leaving && now.since(report.received) < limit
         })
     }
 
-    /// Returns whether a host reported its status within [`UNREACHABLE_AFTER`].
+    /// Returns whether a host reported its status recently.
     pub fn is_reachable(&self, now: Instant, host: &Host) -> bool {
         let report = self.hosts.get(host);
-        report.is_some_and(|report| now.since(report.received) < UNREACHABLE_AFTER)
+        report.is_some_and(|report| now.since(report.received) < self.unreachable_after)
     }
 
     /// Returns whether a host reported that the store answers it.
@@ -149,8 +168,9 @@
     /// Returns the reachable hosts that are not about to stop.
     pub fn reachable(&self, now: Instant) -> impl Iterator<Item = &Host> {
         let hosts = self.hosts.iter();
+        let limit = self.unreachable_after;
         hosts
-            .filter(move |(_, it)| now.since(it.received) < UNREACHABLE_AFTER && !it.status.leaving)
+            .filter(move |(_, it)| now.since(it.received) < limit && !it.status.leaving)
             .map(|(host, _)| host)
     }
 
@@ -163,7 +183,7 @@
     pub fn reachable_share(&self, now: Instant) -> f64 {
         let reports = self.hosts.values();
         let reachable = reports
-            .filter(|report| now.since(report.received) < UNREACHABLE_AFTER)
+            .filter(|report| now.since(report.received) < self.unreachable_after)
             .count();
         (reachable + 1) as f64 / self.count() as f64
     }
@@ -177,12 +197,13 @@
         } else {
             MINORITY_HOST_REMOVAL_TIMEOUT
         };
+        let unreachable_after = self.unreachable_after;
         let expired: Vec<Host> = self
             .hosts
             .iter()
             .filter(|(_, report)| {
                 let silence = now.since(report.received);
-                silence >= limit || (report.status.leaving && silence >= UNREACHABLE_AFTER)
+                silence >= limit || (report.status.leaving && silence >= unreachable_after)
             })
             .map(|(host, _)| host.clone())
             .collect();
--- a/crates/core/src/process/presence/tests.rs
+++ b/crates/core/src/process/presence/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use test_case::test_case;
 
 const STATUS: Status = Status {
     incarnation: 1,
@@ -63,3 +64,21 @@
     assert!(!presence.on_status(Instant::ZERO, &host, leaving));
     assert!(presence.is_serving(Instant::ZERO, &host));
 }
+
+/// A contact bound and the silence after which a host is unreachable, in milliseconds.
+struct Case {
+    contact: u64,
+    reachable: u64,
+    unreachable: u64,
+}
+
+#[test_case(Case { contact: 1_000, reachable: 600, unreachable: 700 }; "short bound")]
+#[test_case(Case { contact: 3_000, reachable: 1_900, unreachable: 2_000 }; "usual bound")]
+#[test_case(Case { contact: 60_000, reachable: 1_900, unreachable: 2_000 }; "long bound")]
+fn a_host_is_unreachable_within_the_contact_bound(case: Case) {
+    let mut presence = presence(2);
+    presence.set_contact_bound(Duration::from_millis(case.contact));
+    let host = Host::from("h1");
+    assert!(presence.is_reachable(Instant::from_millis(case.reachable), &host));
+    assert!(!presence.is_reachable(Instant::from_millis(case.unreachable), &host));
+}
--- a/crates/core/src/version/placement/mod.rs
+++ b/crates/core/src/version/placement/mod.rs
@@ -17,6 +17,7 @@
 
 use azurenotch_wire::{
     Map,
+    hash::hash32,
     id::{Region, Release, Server},
     time::Instant,
 };
@@ -124,6 +125,8 @@
 pub struct Placement {
     entries: Vec<Entry>,
     index: Map<Server, usize>,
+    /// Indices by the hash of the server's name.
+    index_by_hash: Map<u32, usize>,
     objective: Duration,
     /// Estimates of the work by the hash of the route.
     work: Map<u32, Work>,
@@ -138,6 +141,7 @@
         Self {
             entries: Vec::new(),
             index: Map::default(),
+            index_by_hash: Map::default(),
             objective,
             work: Map::default(),
             cold_per_s,
@@ -163,12 +167,15 @@
             None => self.entries.push(entry),
         }
         self.index.insert(backend.server.clone(), index);
+        self.index_by_hash
+            .insert(hash32(backend.server.as_str()), index);
     }
 
     /// Removes a backend server; its running requests are not cancelled.
     pub fn remove(&mut self, server: &Server) {
         if let Some(index) = self.index.remove(server) {
             self.entries[index].remove();
+            self.index_by_hash.remove(&hash32(server.as_str()));
         }
     }
 
@@ -327,14 +334,10 @@
         })
     }
 
-    /// Records loads that another host passed on; `load` returns the one of a server, if any.
-    pub fn receive_loads(&mut self, now: Instant, load: impl Fn(&Server) -> Option<Load>) {
-        for entry in &mut self.entries {
-            if entry.is_listed()
-                && let Some(load) = load(&entry.backend.server)
-            {
-                entry.receive_load(now, load);
-            }
+    /// Records a load that another host passed on, of the server whose name has the hash `server`.
+    pub fn receive_load(&mut self, now: Instant, server: u32, load: Load) {
+        if let Some(index) = self.index_by_hash.get(&server) {
+            self.entries[*index].receive_load(now, load);
         }
     }
 
--- a/crates/core/src/version/slew.rs
+++ b/crates/core/src/version/slew.rs
@@ -129,6 +129,12 @@
         self.suspended_at = Some(now);
     }
 
+    /// Returns whether the limit is switched off.
+    pub fn is_suspended(&self, now: Instant) -> bool {
+        let suspended_at = self.suspended_at;
+        suspended_at.is_some_and(|at| now.since(at) < SUSPENSION_TIME)
+    }
+
     /// Moves the applied distribution towards the requested one, as far as the limit permits.
     fn advance(&mut self, now: Instant) {
         let elapsed = now.since(self.updated).as_secs_f64();
@@ -152,9 +158,9 @@
     }
 
     fn is_limited(&self, now: Instant) -> bool {
-        let suspended_at = self.suspended_at;
-        let is_active = suspended_at.is_none_or(|at| now.since(at) >= SUSPENSION_TIME);
-        is_active && self.requests >= MIN_REQUESTS && now.since(self.first_request) >= STARTUP_TIME
+        !self.is_suspended(now)
+            && self.requests >= MIN_REQUESTS
+            && now.since(self.first_request) >= STARTUP_TIME
     }
 }
 
--- a/crates/entry/src/process/change.rs
+++ b/crates/entry/src/process/change.rs
@@ -10,6 +10,7 @@
 };
 use azurenotch_core::process::quota::{self, Quota};
 use azurenotch_wire::{
+    hash::hash32,
     id::{DataCentre, Service},
     time::Instant,
 };
@@ -151,6 +152,8 @@
             let contracts = config.workspaces.as_ref();
             contracts.is_some_and(|contracts| contracts.contains_key(workspace))
         });
+        let by_hash = quotas.keys().map(|it| (hash32(it.as_str()), it.clone()));
+        *self.workspaces_by_hash.lock() = by_hash.collect();
     }
 
     fn evacuate(&self, now: Instant, centre: &DataCentre, on: bool) {
--- a/crates/entry/src/process/control.rs
+++ b/crates/entry/src/process/control.rs
@@ -9,7 +9,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use slog::debug;
 use std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
-use tokio::{net::TcpListener, select, time::sleep};
+use tokio::{net::TcpListener, select, sync::Semaphore, time::sleep};
 use tokio_util::sync::CancellationToken;
 
 /// Maximum lifetime of an answer to a look-up in callers' caches.
@@ -23,6 +23,13 @@
 const METRICS_PATH: &str = "/metrics";
 /// Timeout for receiving a request header, idle time included.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(30);
+/// Maximum number of other hosts that receive rows from this one at the same time.
+///
+/// Load pattern: after a loss of power hundreds of hosts ask the only one that has the rows. Its
+/// link of 20 Mbit/s would serve none of them in time; some are, and then serve others.
+const MAX_RELAYS: usize = 16;
+/// Longest time for which a connection of another host is kept.
+const MAX_RELAY_TIME: Duration = Duration::from_millis(1_500);
 /// Pause after a failure to accept a connection.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -42,6 +49,7 @@
     purpose: Purpose,
     stop: CancellationToken,
 ) {
+    let relays = Arc::new(Semaphore::new(MAX_RELAYS));
     loop {
         let accepted = select! {
             () = stop.cancelled() => return,
@@ -53,11 +61,15 @@
         };
         let state = Arc::clone(&state);
         let stop = stop.clone();
+        // Other hosts send one request on a connection, and close it when they have the answer.
+        let relay = Arc::clone(&relays).try_acquire_owned().ok();
+        let relay = relay.filter(|_| purpose == Purpose::Peers);
         tokio::spawn(async move {
             let log = state.log().clone();
             let service = service_fn(move |request: Request<Incoming>| {
                 let response = match purpose {
                     Purpose::Control => answer(&state, &request),
+                    Purpose::Peers if relay.is_none() => status(StatusCode::SERVICE_UNAVAILABLE),
                     Purpose::Peers => relay::answer(&state, &request),
                 };
                 async move { Ok::<_, Infallible>(response) }
@@ -70,6 +82,7 @@
             let connection = builder.serve_connection(TokioIo::new(stream), service);
             select! {
                 () = stop.cancelled() => {}
+                () = sleep(MAX_RELAY_TIME), if purpose == Purpose::Peers => {}
                 ended = connection => if let Err(error) = ended {
                     debug!(log, "control: connection failed"; "error" => %error);
                 },
--- a/crates/entry/src/process/entry.rs
+++ b/crates/entry/src/process/entry.rs
@@ -193,6 +193,9 @@
                     state.metrics.count_store_call("hosts", "ok");
                     let changes = state.replica.lock().apply(batch.facts);
                     state.apply(changes, "store");
+                    state.record_join(state.now());
+                    // The other hosts learn of this one, and answer.
+                    state.gossip_wakeup.notify_one();
                     return;
                 }
                 Err(error) => {
--- a/crates/entry/src/process/feed.rs
+++ b/crates/entry/src/process/feed.rs
@@ -145,6 +145,9 @@
     fn is_needed(&self) -> bool {
         let now = self.state.now();
         let freshness = self.state.replica.lock().freshness(self.subject);
+        if freshness.confirmed.is_none() && self.state.awaits_first_read(now) {
+            return self.state.knows_others(now) && self.state.follows_store(now);
+        }
         let late = freshness
             .confirmed
             .is_none_or(|at| now.since(at) > MAX_CONFIRMATION_AGE);
--- a/crates/entry/src/process/gossip.rs
+++ b/crates/entry/src/process/gossip.rs
@@ -5,6 +5,7 @@
 //! counts: admitted requests, evidence about new versions, and loads of backend servers.
 
 use crate::{
+    model::Fact,
     platform::Subject,
     process::{
         message::{self, FreshnessReport, Head, Message},
@@ -26,7 +27,10 @@
 use slog::{debug, info, warn};
 use std::{
     net::{IpAddr, SocketAddr},
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
 };
 use tokio::{net::UdpSocket, select, time::sleep};
@@ -52,6 +56,12 @@
 const UPDATE_SUBJECTS: [Subject; 2] = [Subject::Orders, Subject::Servers];
 /// Age up to which the load of a backend server is sent.
 const MAX_LOAD_AGE: Duration = Duration::from_millis(700);
+/// Longest age of a host's last confirmation until its own feed counts as cut off from the store.
+///
+/// It then requests updates from a newer peer.
+const MAX_STALE_FEED_AGE: Duration = Duration::from_millis(1_800);
+/// The same age as a share of the time within which a configuration has to be in force.
+const STALE_FEED_ADOPTION_SHARE: f64 = 0.72;
 /// Time between two checks for missing messages.
 const REACH_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -64,6 +74,8 @@
     echoes: Mutex<azurenotch_wire::Map<Host, Echo>>,
     /// Share of all hosts that was reachable in the last round.
     reachable_share: Mutex<Option<f64>>,
+    /// Whether this host followed the store in the last round.
+    follows: AtomicBool,
 }
 
 /// A host whose replica of the platform's rows is newer than this one's.
@@ -73,6 +85,15 @@
     pub address: SocketAddr,
 }
 
+/// What follows from a message.
+#[derive(Debug, Default)]
+struct Received {
+    /// The sender, if its replica is newer.
+    newer_peer: Option<NewerPeer>,
+    /// Whether the sender is new or was restarted.
+    joined: bool,
+}
+
 impl Gossip {
     /// Opens the UDP port for messages of other hosts.
     ///
@@ -86,6 +107,7 @@
             socket,
             echoes: Mutex::default(),
             reachable_share: Mutex::default(),
+            follows: AtomicBool::new(false),
         })
     }
 
@@ -242,6 +264,7 @@
         let state = &self.state;
         let now = state.now();
         let follows = state.follows_store(now);
+        self.follows.store(follows, Ordering::Relaxed);
         let replica = state.replica.lock();
         let (orders, servers) = (
             replica.freshness(Subject::Orders),
@@ -250,6 +273,7 @@
         let updates = follows.then(|| {
             UPDATE_SUBJECTS.map(|subject| replica.recent_update(now, subject, MAX_FACTS_PER_UPDATE))
         });
+        let outcomes = replica.outcomes();
         drop(replica);
         let mut usage = Vec::new();
         for (workspace, quota) in state.quotas.lock().iter_mut() {
@@ -290,6 +314,7 @@
             orders: FreshnessReport::new(now, orders),
             servers: FreshnessReport::new(now, servers),
             updates,
+            outcomes,
             usage,
             rates,
             evidence,
@@ -310,9 +335,15 @@
             };
             match message::decode(&buffer[..length]) {
                 Ok((head, message)) => {
-                    if let Some(newer_peer) = self.receive_message(from.ip(), head, message) {
+                    let target = (Some(message.peer.host.clone()), message.peer.address);
+                    let received = self.receive_message(from.ip(), head, message);
+                    if let Some(newer_peer) = received.newer_peer {
                         newer_peers.send_replace(Some(newer_peer));
                     }
+                    if received.joined {
+                        // A host that has just started learns from the answer what it missed.
+                        self.send_round(&[target]).await;
+                    }
                 }
                 Err(error) => {
                     warn!(self.state.log(), "gossip: cannot decode datagram"; "from" => %from,
@@ -322,15 +353,14 @@
         }
     }
 
-    /// Processes a message; returns its sender if the sender's replica is newer.
-    fn receive_message(&self, from: IpAddr, head: Head, message: Message) -> Option<NewerPeer> {
+    fn receive_message(&self, from: IpAddr, head: Head, message: Message) -> Received {
         let state = &self.state;
         let now = state.now();
         let host = message.peer.host.clone();
         // Drops own messages, and those that name another address than they come from. The name
         // identifies a host, since an address can be given to another machine.
         if host == state.own.host || message.peer.address.ip() != from {
-            return None;
+            return Received::default();
         }
         let incarnation = message.peer.incarnation;
         let mut membership = state.membership.lock();
@@ -340,7 +370,13 @@
             leaving: message.leaving,
             reaches_store: message.reaches_store,
         };
-        if membership.presence.on_status(now, &host, status) {
+        // Hosts that do not call the store learn of its faults from those that do.
+        let lost_store = membership.presence.reaches_store(&host) && !status.reaches_store;
+        let joined = membership.presence.on_status(now, &host, status);
+        if lost_store {
+            state.slew.lock().suspend(now);
+        }
+        if joined {
             state.slew.lock().suspend(now);
             info!(state.log(), "hosts: peer joined or restarted"; "peer" => %host,
                 "incarnation" => incarnation);
@@ -362,15 +398,19 @@
         }
         self.receive_loads(now, &message.loads);
         self.receive_updates(message.updates);
-        self.confirm(
+        self.receive_outcomes(message.outcomes);
+        let newer = self.confirm(
             now,
             head.echo,
             &[
                 (Subject::Orders, message.orders),
                 (Subject::Servers, message.servers),
             ],
-        )
-        .then_some(NewerPeer { address })
+        );
+        Received {
+            newer_peer: newer.then_some(NewerPeer { address }),
+            joined,
+        }
     }
 
     fn receive_shared_counts(
@@ -381,14 +421,16 @@
         usage: &[(u32, Count)],
         evidence: &[(u32, Evidence)],
     ) {
+        let workspaces = self.state.workspaces_by_hash.lock();
         let mut quotas = self.state.quotas.lock();
-        for (workspace, quota) in quotas.iter_mut() {
-            let hash = hash32(workspace.as_str());
-            if let Some((_, count)) = usage.iter().find(|(it, _)| *it == hash) {
+        for (hash, count) in usage {
+            let workspace = workspaces.get(hash);
+            if let Some(quota) = workspace.and_then(|it| quotas.get_mut(it)) {
                 quota.on_report(now, host, incarnation, *count);
             }
         }
         drop(quotas);
+        drop(workspaces);
         if evidence.is_empty() {
             return;
         }
@@ -428,20 +470,26 @@
         self.state.apply(changes, "peer");
     }
 
-    fn receive_loads(&self, now: Instant, loads: &[(u32, u16, u16, u16)]) {
-        if loads.is_empty() {
+    /// Applies states of version moves, so that hosts that do not write them need not read them.
+    fn receive_outcomes(&self, outcomes: Vec<Fact>) {
+        if outcomes.is_empty() {
             return;
         }
-        for fleet in self.state.fleets.lock().values_mut() {
-            fleet.placement.receive_loads(now, |server| {
-                let hash = hash32(server.as_str());
-                let load = loads.iter().find(|(it, ..)| *it == hash);
-                load.map(|(_, running, waiting, slots)| Load {
-                    running: u32::from(*running),
-                    waiting: u32::from(*waiting),
-                    slots: u32::from(*slots),
-                })
-            });
+        let changes = self.state.replica.lock().apply(outcomes);
+        self.state.apply(changes, "peer");
+    }
+
+    fn receive_loads(&self, now: Instant, loads: &[(u32, u16, u16, u16)]) {
+        let mut fleets = self.state.fleets.lock();
+        for (server, running, waiting, slots) in loads {
+            let load = Load {
+                running: u32::from(*running),
+                waiting: u32::from(*waiting),
+                slots: u32::from(*slots),
+            };
+            for fleet in fleets.values_mut() {
+                fleet.placement.receive_load(now, *server, load);
+            }
         }
     }
 
@@ -456,16 +504,18 @@
         reports: &[(Subject, FreshnessReport)],
     ) -> bool {
         let incarnation = self.state.own.incarnation;
-        let follows = self.state.follows_store(now);
+        let follows = self.follows.load(Ordering::Relaxed);
+        let adoption = self.state.setting().bounds.adoption;
+        let stale_age = adoption
+            .mul_f64(STALE_FEED_ADOPTION_SHARE)
+            .min(MAX_STALE_FEED_AGE);
         let mut newer = false;
         let mut replica = self.state.replica.lock();
         for (subject, theirs) in reports {
             let own = replica.freshness(*subject);
             if theirs.version > own.version {
                 // This host's own feed delivers the change sooner, unless it has lost the store.
-                let stale = own
-                    .confirmed
-                    .is_none_or(|at| now.since(at) > STALE_FEED_AGE);
+                let stale = own.confirmed.is_none_or(|at| now.since(at) > stale_age);
                 newer |= stale || !follows;
             } else if theirs.version == own.version
                 && let Some((echo, age_ms)) = echo.zip(theirs.age_ms)
@@ -484,8 +534,3 @@
     let factor = u32::try_from(hosts / HOSTS_PER_BASE_ROUND).unwrap_or(1);
     (BASE_ROUND_INTERVAL * factor.max(1)).min(MAX_ROUND_INTERVAL)
 }
-
-/// Age of a host's last confirmation above which its own feed counts as cut off from the store.
-///
-/// It then requests updates from a newer peer.
-const STALE_FEED_AGE: Duration = Duration::from_millis(1_800);
--- a/crates/entry/src/process/move_state.rs
+++ b/crates/entry/src/process/move_state.rs
@@ -17,6 +17,8 @@
 /// Rounds between two reads of the states while a move is under way.
 const ROUNDS_PER_READ: u32 = 6;
 
+/// Time after which hosts that are no writers write the state of a version that was judged bad.
+const LAST_WRITE_DELAY: Duration = Duration::from_millis(1_500);
 /// Rounds between two log lines about the evidence of a move.
 const ROUNDS_PER_REPORT: u32 = 5;
 
@@ -50,8 +52,11 @@
             report(state);
         }
         let (under_way, mut due) = find_due(state, &mut pending);
-        // States of other hosts have to be read first: a write needs the current version.
-        if under_way && (!states_read || !due.is_empty() || rounds % ROUNDS_PER_READ == 0) {
+        // The first writer reads the states for all hosts. Before a write every host does, because
+        // it needs the current version.
+        let is_reader = write_delay(state).is_some_and(|delay| delay.is_zero());
+        let is_read_due = is_reader && (!states_read || rounds % ROUNDS_PER_READ == 0);
+        if under_way && (is_read_due || !due.is_empty()) {
             states_read = read(state).await;
             due = find_due(state, &mut pending).1;
         }
@@ -106,9 +111,14 @@
         });
         let since = known.map_or(now, |(.., since)| *since);
         pending.push((service.clone(), cutover.order, progress, since));
-        // Every host writes a bad version's state at once; for all other states hosts take turns.
-        let is_turn = delay.is_some_and(|delay| now.since(since) >= delay);
-        if is_turn || progress == Progress::TakenBack {
+        // All writers write a bad version's state at once, and the other hosts if it stays unknown;
+        // for all other states the writers take turns.
+        let delay = match progress {
+            Progress::TakenBack if delay.is_some() => Some(Duration::ZERO),
+            Progress::TakenBack => Some(LAST_WRITE_DELAY),
+            Progress::Running | Progress::Done => delay,
+        };
+        if delay.is_some_and(|delay| now.since(since) >= delay) {
             due.push(DueWrite {
                 service: service.clone(),
                 outcome: Outcome {
--- a/crates/entry/src/process/relay.rs
+++ b/crates/entry/src/process/relay.rs
@@ -17,7 +17,7 @@
 use hyper::{body::Incoming, client::conn::http1 as client};
 use hyper_util::rt::TokioIo;
 use serde::{Deserialize, Serialize};
-use slog::{info, warn};
+use slog::{debug, info, warn};
 use snafu::{ResultExt, Snafu};
 use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 use tokio::{net::TcpStream, select, sync::watch, time::timeout};
@@ -42,6 +42,8 @@
 enum Error {
     #[snafu(display("no answer in time"))]
     Timeout,
+    #[snafu(display("the host answers other hosts: status {status}"))]
+    Busy { status: StatusCode },
     #[snafu(display("cannot connect: {source}"))]
     Connect { source: io::Error },
     #[snafu(display("the URI is not valid: {source}"))]
@@ -105,6 +107,12 @@
         if let Some(newer_peer) = newer_peer {
             match request(&state, newer_peer.address).await {
                 Ok(answer) => apply_answer(&state, newer_peer.address, answer),
+                Err(error @ Error::Busy { .. }) => {
+                    debug!(state.log(), "relay: peer is busy"; "from" => %newer_peer.address,
+                        "error" => %error);
+                    // Tries again after the pause, by then perhaps at a host that was served.
+                    newer_peers.mark_changed();
+                }
                 Err(error) => warn!(state.log(), "relay: request to peer failed";
                     "from" => %newer_peer.address, "error" => %error),
             }
@@ -172,6 +180,10 @@
     *request.uri_mut() = uri.parse().context(UriSnafu)?;
     let answer = async move {
         let answer = sender.send_request(request).await.context(ExchangeSnafu)?;
+        let status = answer.status();
+        if !status.is_success() {
+            return BusySnafu { status }.fail();
+        }
         let body = Limited::new(answer.into_body(), MAX_ANSWER_BYTES);
         let body = body.collect().await.context(BodySnafu)?;
         rmp_serde::from_slice(&body.to_bytes()).context(DecodeSnafu)
--- a/crates/entry/src/process/replica.rs
+++ b/crates/entry/src/process/replica.rs
@@ -263,6 +263,18 @@
         config.chain(self.rows.values().cloned()).collect()
     }
 
+    /// Returns the states of the version moves that are ordered.
+    pub fn outcomes(&self) -> Vec<Fact> {
+        let rows = self.rows.values().filter(|fact| match &fact.item {
+            Item::Outcome(service, Some(_)) => {
+                let order = self.rows.get(&Key::Move(service.clone()));
+                order.is_some_and(|order| !is_removed(&order.item))
+            }
+            _ => false,
+        });
+        rows.cloned().collect()
+    }
+
     /// Returns all backend servers that are not removed.
     pub fn backends(&self) -> impl Iterator<Item = (&Server, &crate::model::Backend)> {
         self.rows.values().filter_map(|fact| match &fact.item {
--- a/crates/entry/src/process/state.rs
+++ b/crates/entry/src/process/state.rs
@@ -35,6 +35,14 @@
 
 /// Time by which a host refuses keys before their last confirmation is `withdrawal-s` old.
 const WITHDRAWAL_MARGIN: Duration = Duration::from_millis(150);
+/// Longest time after the start within which a host reads the addresses of the other hosts.
+///
+/// It follows the store itself after that.
+const MAX_JOIN_TIME: Duration = Duration::from_secs(1);
+/// Longest time after that until the hosts that run have answered; a round trip between regions.
+const MAX_CONTACT_TIME: Duration = Duration::from_millis(150);
+/// Longest time after the first start of the whole system until one host has read the rows.
+const MAX_FIRST_READ_TIME: Duration = Duration::from_secs(3);
 /// Share of the memory for all buffered request bodies and answers together.
 const BODY_MEMORY_SHARE: f64 = 0.4;
 
@@ -89,6 +97,8 @@
     pub fleets: Mutex<Map<Service, Fleet>>,
     /// Rate limits by workspace.
     pub quotas: Mutex<Map<Workspace, Quota>>,
+    /// Workspaces by the hash that messages contain.
+    pub workspaces_by_hash: Mutex<Map<u32, Workspace>>,
     /// Starts a round of messages at once, when other hosts should receive a change.
     pub gossip_wakeup: Notify,
     /// Limit on how fast requests move between regions.
@@ -99,6 +109,8 @@
     ///
     /// Set when a planned stop begins.
     pub stop: OnceLock<(Instant, Duration)>,
+    /// When the addresses of the other hosts were read from the store.
+    joined: OnceLock<Instant>,
     /// One bit per subject, set while the last call to the store about it failed.
     failed_subjects: AtomicU8,
     /// Memory that buffered bodies use.
@@ -118,6 +130,10 @@
         dependencies: Dependencies,
     ) -> Result<Self, prometheus::Error> {
         let account = Account::new(setting.machine.memory(BODY_MEMORY_SHARE));
+        let mut membership = Membership::default();
+        membership
+            .presence
+            .set_contact_bound(setting.bounds.contact);
         Ok(Self {
             own,
             dependencies,
@@ -128,10 +144,12 @@
             replica: Mutex::default(),
             fleets: Mutex::default(),
             quotas: Mutex::default(),
+            workspaces_by_hash: Mutex::default(),
             gossip_wakeup: Notify::new(),
             slew: Mutex::default(),
-            membership: Mutex::default(),
+            membership: Mutex::new(membership),
             stop: OnceLock::new(),
+            joined: OnceLock::new(),
             failed_subjects: AtomicU8::new(0),
             setting: ArcSwap::from_pointee(setting),
         })
@@ -158,6 +176,8 @@
         for fleet in self.fleets.lock().values_mut() {
             fleet.budget.set_limit(limit);
         }
+        let contact = setting.bounds.contact;
+        self.membership.lock().presence.set_contact_bound(contact);
         let moved = setting.data_centres != former.data_centres;
         self.location.store(Arc::new(own_location(&setting)));
         self.setting.store(Arc::new(setting));
@@ -206,12 +226,37 @@
         self.membership.lock().presence.count()
     }
 
-    /// Returns whether this host follows the store for the other hosts of its region.
+    /// Returns whether this host follows the store for the other hosts.
     pub fn follows_store(&self, now: Instant) -> bool {
         let membership = self.membership.lock();
-        let near = membership.in_region(now, &self.own.region);
-        let near = near.map(|host| (host, membership.presence.reaches_store(host)));
-        election::is_store_reader(&self.own.host, self.reaches_store(), near)
+        let hosts = membership.presence.reachable(now);
+        let hosts = hosts.map(|host| (host, membership.presence.reaches_store(host)));
+        election::is_store_reader(&self.own.host, self.reaches_store(), hosts)
+    }
+
+    /// Records that the addresses of the other hosts were read from the store.
+    pub fn record_join(&self, now: Instant) {
+        // Later calls change nothing.
+        let _ = self.joined.set(now);
+    }
+
+    /// Returns whether one host is about to read the rows for all others.
+    ///
+    /// That is so for a short time after the first start of the whole system, when all hosts start
+    /// together and no caller waits for them.
+    pub fn awaits_first_read(&self, now: Instant) -> bool {
+        self.setting().host.is_first && now.since(Instant::ZERO) < MAX_FIRST_READ_TIME
+    }
+
+    /// Returns whether the other hosts that run have had the time to show it.
+    pub fn knows_others(&self, now: Instant) -> bool {
+        match self.joined.get() {
+            None => now.since(Instant::ZERO) >= MAX_JOIN_TIME,
+            Some(at) => {
+                let alone = self.membership.lock().peers.is_empty();
+                alone || now.since(*at) >= MAX_CONTACT_TIME
+            }
+        }
     }
 
     /// Returns whether the store answered the last call about every subject.
--- a/crates/model/src/engine.rs
+++ b/crates/model/src/engine.rs
@@ -18,6 +18,7 @@
     version::placement::{Choice, Verdict},
 };
 use azurenotch_wire::{
+    hash::hash32,
     id::{Host as Name, Region},
     time::Instant,
 };
@@ -393,10 +394,10 @@
             if other.region == region {
                 other.spill.receive_rate(now, &name, rate);
             }
-            other.placement.receive_loads(now, |server| {
-                let found = reported_loads.iter().find(|(it, _)| it == server);
-                found.map(|(_, load)| *load)
-            });
+            for (server, load) in &reported_loads {
+                let server = hash32(server.as_str());
+                other.placement.receive_load(now, server, *load);
+            }
         }
     }
 }
