fix(core): silent hosts without requests share one entry of a quota

Change: hosts that never reported requests of a workspace share one part and one account. Test: silent_hosts_without_requests_take_no_memory_each, which the former form fails (150 entries). quota_partition: 23 pass. Memory at full size not measured again yet.

--- a/crates/core/src/process/quota.rs
+++ b/crates/core/src/process/quota.rs
@@ -86,6 +86,8 @@
     hosts: usize,
     /// Parts of all silent hosts together, from 0 to 1.
     silent_part: f64,
+    /// Silent hosts that never reported requests of the workspace.
+    unheard: Unheard,
     /// Counts that were sent and that most hosts may not have received yet, oldest first.
     rounds: VecDeque<Round>,
     /// Newest counts that most hosts have received.
@@ -96,6 +98,18 @@
     own_part: f64,
 }
 
+/// What is set aside for silent hosts that never reported requests of the workspace.
+///
+/// One value for all of them: an entry for each host and workspace would take megabytes in a large
+/// system, where messages of some hosts are always missing.
+#[derive(Debug, Clone, Copy, Default)]
+struct Unheard {
+    /// Their part of the tokens and the rate.
+    part: f64,
+    /// Tokens that they may have used.
+    assumed: f64,
+}
+
 /// State of the bucket when its counts were sent to the other hosts.
 #[derive(Debug, Clone, Copy)]
 struct Round {
@@ -150,6 +164,7 @@
             others: Map::default(),
             hosts: 1,
             silent_part: 0.0,
+            unheard: Unheard::default(),
             rounds: VecDeque::new(),
             confirmed: Round {
                 sent: now,
@@ -198,11 +213,15 @@
                 self.tokens += std::mem::take(&mut other.assumed);
             }
         }
+        let mut unheard = 0;
         for host in &reach.silent {
-            self.set_aside(now, host);
+            if !self.set_aside(host) {
+                unheard += 1;
+            }
         }
+        self.set_aside_unheard(unheard);
         let parts = self.others.values().filter_map(|it| it.silent_part);
-        self.silent_part = parts.sum::<f64>().min(1.0);
+        self.silent_part = (parts.sum::<f64>() + self.unheard.part).min(1.0);
         self.own_part = self.part(self.confirmed_demand, self.known_demand());
         self.tokens = self.tokens.min(self.max_tokens());
     }
@@ -338,20 +357,40 @@
         }
     }
 
-    /// Sets the part of a host aside that has become silent.
-    fn set_aside(&mut self, now: Instant, host: &Host) {
-        let known = self.others.get(host);
-        if known.is_some_and(|it| it.silent_part.is_some()) {
-            return;
+    /// Sets the part of a silent host aside; returns `false` if the host never reported requests.
+    fn set_aside(&mut self, host: &Host) -> bool {
+        let Some(known) = self.others.get(host) else {
+            return false;
+        };
+        if known.silent_part.is_some() {
+            return true;
         }
-        let demand = known.map_or(0.0, |it| it.usual_demand);
-        let part = self.part(demand, self.known_demand());
-        let others = self.others.entry(host.clone());
-        let other = others.or_insert_with(|| RemoteUsage::new(None, Count::default(), now));
-        other.silent_part = Some(part);
-        let moved = part * (self.tokens + other.assumed).max(0.0) - other.assumed;
-        other.assumed += moved;
+        let part = self.part(known.usual_demand, self.known_demand());
+        if let Some(other) = self.others.get_mut(host) {
+            other.silent_part = Some(part);
+            let moved = part * (self.tokens + other.assumed).max(0.0) - other.assumed;
+            other.assumed += moved;
+            self.tokens -= moved;
+        }
+        true
+    }
+
+    /// Sets the parts of `hosts` silent hosts aside that never reported requests.
+    fn set_aside_unheard(&mut self, hosts: usize) {
+        let part = hosts as f64 * self.part(0.0, self.known_demand());
+        let former = self.unheard;
+        let moved = if part > former.part {
+            (part - former.part) * self.tokens.max(0.0)
+        } else if former.part > 0.0 {
+            -former.assumed * (former.part - part) / former.part
+        } else {
+            0.0
+        };
         self.tokens -= moved;
+        self.unheard = Unheard {
+            part,
+            assumed: former.assumed + moved,
+        };
     }
 
     /// Returns the part, from 0 to 1, of a host with `demand` of `total` at all hosts.
@@ -395,6 +434,9 @@
             other.assumed += taken;
             gained -= taken;
         }
+        let taken = elapsed * rate * self.unheard.part;
+        self.unheard.assumed += taken;
+        gained -= taken;
         self.tokens = (self.tokens + gained).clamp(-burst - rate, self.max_tokens());
     }
 }
--- a/crates/core/src/process/quota/tests.rs
+++ b/crates/core/src/process/quota/tests.rs
@@ -124,3 +124,21 @@
         .count();
     assert!(admitted <= 25, "{admitted}");
 }
+
+/// Guards against an entry for each silent host in each workspace.
+#[test]
+fn silent_hosts_without_requests_take_no_memory_each() {
+    let mut quota = Quota::new(Instant::ZERO, CONTRACT, true);
+    let silent = |hosts: usize| Reach {
+        hosts: 300,
+        silent: (0..hosts).map(|it| Host::from(format!("h{it}"))).collect(),
+        confirmed: Some(Instant::ZERO),
+    };
+    quota.on_reach(Instant::ZERO, &silent(150));
+    assert!(quota.others.is_empty());
+    let left = quota.tokens(Instant::ZERO);
+    assert!((left - 50.0).abs() < 1e-6, "{left} tokens are left");
+    quota.on_reach(Instant::ZERO, &silent(0));
+    let left = quota.tokens(Instant::ZERO);
+    assert!((left - 100.0).abs() < 1e-6, "{left} tokens are back");
+}
