fix(core): objects that leave a region divide between equally near regions

At the start 73 % of norte's requests went to centro and 6 % to sul, and 30 % to sul one second later, when the queues in centro were long. Change: for requests to another region, each region costs up to a tenth of the average work in addition, by a hash of object and region, so that hosts divide them from the first request on and agree for each object. Test: requests_that_leave_divide_between_equally_near_regions (all to one region before).

--- a/crates/core/src/version/placement/entry.rs
+++ b/crates/core/src/version/placement/entry.rs
@@ -73,6 +73,7 @@
     /// Whether a health check has to succeed before the server gets requests.
     pub(super) awaits_health_check: bool,
     hash: u64,
+    region_hash: u64,
     listed: bool,
     in_flight: u32,
     reported: Option<ReportedLoad>,
@@ -102,6 +103,7 @@
     pub(super) fn new(now: Instant, backend: &Backend) -> Self {
         Self {
             hash: hash::hash64(backend.server.as_str()),
+            region_hash: hash::hash64(backend.region.as_str()),
             warmup_senders: None,
             awaits_health_check: false,
             listed: true,
@@ -182,11 +184,12 @@
 
     /// Returns the rank of the server for an object; the highest-ranked one is its home server.
     pub(super) fn rank(&self, object: u64) -> u64 {
-        // Finalizer of SplitMix64, because FxHash gives similar names the same high bits.
-        let mut x = self.hash ^ object.wrapping_mul(0x9e37_79b9_7f4a_7c15);
-        x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-        x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-        x ^ (x >> 31)
+        mix(self.hash, object)
+    }
+
+    /// Returns the place of the server's region for an object among other regions, 0 to 1.
+    pub(super) fn region_rank(&self, object: u64) -> f64 {
+        (mix(self.region_hash, object) >> 32) as f64 / f64::from(u32::MAX)
     }
 
     pub(super) fn hit_probability(
@@ -339,3 +342,12 @@
         share * (-now.since(at).as_secs_f64() / FAILURE_HALF_LIFE_S).exp2()
     }
 }
+
+/// Returns a number that depends on all bits of a name's hash and of an object.
+fn mix(name: u64, object: u64) -> u64 {
+    // Finalizer of SplitMix64, because FxHash gives similar names the same high bits.
+    let mut x = name ^ object.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
+}
--- a/crates/core/src/version/placement/mod.rs
+++ b/crates/core/src/version/placement/mod.rs
@@ -54,6 +54,12 @@
 /// Links between regions are narrow and shared by all traffic.
 const REGION_COST_S_PER_BYTE: f64 = 0.30 / 100_000.0;
 
+/// Largest cost by which other regions differ for an object, as a share of the average work.
+///
+/// Without it, all hosts of a region prefer the same one of several equally near regions, and move
+/// to the next when its queues are long.
+const REGION_RANK_COST_SHARE: f64 = 0.1;
+
 /// Requirements of a request on the backend server.
 #[derive(Debug, Clone, Copy)]
 pub struct Query<'a> {
@@ -416,7 +422,13 @@
         let failure =
             entry.failure(now) * FAILURE_COST_OBJECTIVES * repeat * query.objective.as_secs_f64();
         let occupancy = entry.occupancy(now) * OCCUPANCY_COST_SHARE * work.average();
-        choice.expected.as_secs_f64() + bytes + failure + occupancy
+        let region = match (entry.backend.tier, query.object) {
+            (Tier::Remote, Some(object)) => {
+                entry.region_rank(object) * REGION_RANK_COST_SHARE * work.average()
+            }
+            _ => 0.0,
+        };
+        choice.expected.as_secs_f64() + bytes + failure + occupancy + region
     }
 }
 
--- a/crates/core/src/version/placement/tests.rs
+++ b/crates/core/src/version/placement/tests.rs
@@ -229,3 +229,23 @@
     placement.confirm_health(0);
     assert_eq!(choose(&mut placement, Instant::ZERO, 1).index, 0);
 }
+
+/// Replays the start of a region whose requests all leave for two equally near regions.
+#[test]
+fn requests_that_leave_divide_between_equally_near_regions() {
+    let mut placement = placement(0, 8);
+    for number in 8..16 {
+        let elsewhere = Backend {
+            region: "elsewhere".into(),
+            ..backend(number, Tier::Remote)
+        };
+        placement.insert(Instant::ZERO, &elsewhere);
+    }
+    let objects = 200;
+    let far = (0..objects).filter(|object| {
+        let choice = choose(&mut placement, Instant::ZERO, *object);
+        placement.backend(choice.index).region.as_str() == "far"
+    });
+    let share = far.count() as f64 / objects as f64;
+    assert!((0.35..=0.65).contains(&share), "{share} go to one region");
+}
