--- a/crates/core/src/process/election.rs
+++ b/crates/core/src/process/election.rs
@@ -1,6 +1,6 @@
-//! Election of the hosts that read the store for their region and of those that write to it.
+//! Election of the host that reads the store for all others and of those that write to it.
 //!
-//! Calls to the store are limited and paid for, so one host of each region reads it and sends
+//! Calls to the store are limited and paid for, so one host reads it and sends
 //! updates to the others. All hosts derive the same reader from the set of reachable hosts. While
 //! their sets differ, two hosts may read the store, which is harmless.
 
@@ -12,9 +12,9 @@
 /// Delay between the attempts of two hosts; long enough for a call to the store and its reply.
 const WRITE_TURN_DELAY: Duration = Duration::from_millis(400);
 
-/// Returns whether this host reads the store for the reachable hosts of its region.
+/// Returns whether this host reads the store for the reachable hosts.
 ///
-/// `reachable` has the other reachable hosts of the region and whether each reaches the store.
+/// `reachable` has the other reachable hosts and whether each reaches the store.
 ///
 /// Load pattern: the store refuses some hosts and serves the others, and the readers are among the
 /// refused ones. A host that reaches the store compares itself only with others that reach it, so
--- a/crates/core/src/process/quota.rs
+++ b/crates/core/src/process/quota.rs
@@ -12,8 +12,11 @@
 //! the counts. And the part of a host of which a message is missing is set aside until it is heard
 //! again or counts as gone. Parts follow the demand that all hosts know of.
 
+mod remote;
+
 use crate::process::presence::Reach;
 use azurenotch_wire::{Map, id::Host, time::Instant};
+use remote::{RemoteUsage, Requests};
 use serde::{Deserialize, Serialize};
 use std::{collections::VecDeque, time::Duration};
 
@@ -23,8 +26,6 @@
 ///
 /// Longer than that of the demand, so that the part of a host with few requests varies little.
 const PART_TIME_CONSTANT_S: f64 = 3.0;
-/// Lower limit of the time between two reports from which a rate is computed, in seconds.
-const MIN_REPORT_INTERVAL_S: f64 = 0.02;
 /// Time after the last request during which counts are reported.
 ///
 /// It covers several rounds of reports, because some are lost.
@@ -127,23 +128,6 @@
     pub admitted: u64,
 }
 
-/// Last report of another host and the estimate since then.
-#[derive(Debug, Clone)]
-struct RemoteUsage {
-    /// Incarnation of the last report; `None` before the first one.
-    incarnation: Option<u64>,
-    count: Count,
-    reported: Instant,
-    /// Average rate of requests at that host, per second.
-    demand: f64,
-    /// Long-term average of that rate, per second.
-    usual_demand: f64,
-    /// Tokens taken since the last report for requests that the host may have admitted.
-    assumed: f64,
-    /// Part of the tokens and the rate that is set aside while the host is silent.
-    silent_part: Option<f64>,
-}
-
 impl Quota {
     /// Creates the bucket of a workspace.
     ///
@@ -441,36 +425,5 @@
     }
 }
 
-impl RemoteUsage {
-    fn new(incarnation: Option<u64>, count: Count, reported: Instant) -> Self {
-        Self {
-            incarnation,
-            count,
-            reported,
-            demand: 0.0,
-            usual_demand: 0.0,
-            assumed: 0.0,
-            silent_part: None,
-        }
-    }
-}
-
-/// Requests between two reports of a host.
-struct Requests {
-    elapsed: Duration,
-    before: Count,
-    after: Count,
-}
-
-impl Requests {
-    /// Returns the moving average of the rate that was `former` before them.
-    fn average(&self, former: f64, time_constant_s: f64) -> f64 {
-        let elapsed = self.elapsed.as_secs_f64().max(MIN_REPORT_INTERVAL_S);
-        let weight = (elapsed / time_constant_s).min(1.0);
-        let asked = self.after.asked.saturating_sub(self.before.asked) as f64;
-        former + weight * (asked / elapsed - former)
-    }
-}
-
 #[cfg(test)]
 mod tests;
