fix(entry): a streamed answer without end is cut at the caller's deadline

Cause: an answer of more than 256 KB is streamed, and a stream had no deadline: a server that sends without end held a connection and a slot for as long as the caller read. Change: the stream ends with an error at the caller's deadline (the route's timeout if the caller names none), so that the answer is recognisably cut; shorter answers, heads, interim answers and trailers without end were bounded before. Tests: contract::endless, nine kinds of bytes without end, 50 callers each; "a fast body" failed before (status 200, no end after 1.5 s), the other eight did not.

--- a/crates/entry/src/request/attempt.rs
+++ b/crates/entry/src/request/attempt.rs
@@ -51,6 +51,8 @@
     /// Whether the request may run more than once.
     pub(crate) repeatable: bool,
     pub(crate) deadline: Instant,
+    /// Moment from which the caller no longer waits for the rest of an answer.
+    pub(crate) stream_deadline: Instant,
 }
 
 /// Backend server of one send.
@@ -299,7 +301,8 @@
         {
             let in_flight = GaugeGuard::new(&state.metrics.in_flight);
             let buffered = reservation.hold(buffer.freeze());
-            let stream = Stream::new(buffered, body, lease, in_flight);
+            let left = job.stream_deadline.since(state.now());
+            let stream = Stream::new(buffered, body, left, lease, in_flight);
             let body = Body::Stream(Box::new(stream));
             return Ending::Answered(crate::request::reply::from_server(
                 parts.status,
--- a/crates/entry/src/request/handler.rs
+++ b/crates/entry/src/request/handler.rs
@@ -141,6 +141,7 @@
                 body,
                 repeatable: route.kind.is_repeatable(),
                 deadline,
+                stream_deadline: self.arrived + caller_timeout.unwrap_or(route.timeout),
             },
         };
         let outcome = forwarder.run().await;
--- a/crates/entry/src/request/reply.rs
+++ b/crates/entry/src/request/reply.rs
@@ -7,11 +7,13 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use prometheus::IntGauge;
+use snafu::{ResultExt, Snafu};
 use std::{
     pin::Pin,
     task::{Context, Poll},
     time::Duration,
 };
+use tokio::time::{Sleep, sleep};
 
 /// Body of an answer.
 #[derive(Debug)]
@@ -22,14 +24,31 @@
     Stream(Box<Stream>),
 }
 
+/// Why the body of an answer ends before it is complete.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// The backend server broke off.
+    #[snafu(display("the backend server broke off: {source}"))]
+    Server {
+        /// Cause.
+        source: hyper::Error,
+    },
+    /// The caller does not wait any longer.
+    #[snafu(display("the deadline of the caller has passed"))]
+    Expired,
+}
+
 /// Body of which the first part is buffered while the backend server still sends the rest.
 ///
-/// If the server fails before the end, the caller's connection is closed, so that the answer does
-/// not look complete. If the caller disconnects, the connection to the server is closed.
+/// If the server fails or the deadline passes before the end, the caller's connection is closed, so
+/// that the answer does not look complete. If the caller disconnects, the connection to the server
+/// is closed.
 #[derive(Debug)]
 pub struct Stream {
     buffered: Option<Bytes>,
     rest: Incoming,
+    /// Ends an answer that has no end.
+    deadline: Pin<Box<Sleep>>,
     hint: SizeHint,
     _lease: Lease,
     _in_flight: GaugeGuard,
@@ -56,8 +75,14 @@
 impl Stream {
     /// Creates a body from the buffered part and the rest.
     ///
-    /// `lease` and `in_flight` are held until the body is dropped.
-    pub fn new(buffered: Bytes, rest: Incoming, lease: Lease, in_flight: GaugeGuard) -> Self {
+    /// It may take `max_time`. `lease` and `in_flight` are held until the body is dropped.
+    pub fn new(
+        buffered: Bytes,
+        rest: Incoming,
+        max_time: Duration,
+        lease: Lease,
+        in_flight: GaugeGuard,
+    ) -> Self {
         let mut hint = rest.size_hint();
         if let Some(length) = hint.exact() {
             hint.set_exact(length + buffered.len() as u64);
@@ -65,6 +90,7 @@
         Self {
             buffered: Some(buffered),
             rest,
+            deadline: Box::pin(sleep(max_time)),
             hint,
             _lease: lease,
             _in_flight: in_flight,
@@ -72,22 +98,32 @@
     }
 }
 
+impl Stream {
+    fn poll_frame(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
+        if self.deadline.as_mut().poll(cx).is_ready() {
+            return Poll::Ready(Some(ExpiredSnafu.fail()));
+        }
+        if let Some(buffered) = self.buffered.take() {
+            return Poll::Ready(Some(Ok(Frame::data(buffered))));
+        }
+        let polled = Pin::new(&mut self.rest).poll_frame(cx);
+        polled.map(|frame| frame.map(|frame| frame.context(ServerSnafu)))
+    }
+}
+
 impl HttpBody for Body {
     type Data = Bytes;
-    type Error = hyper::Error;
+    type Error = Error;
 
     fn poll_frame(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
         match self.get_mut() {
             Self::Whole(body) => Pin::new(body)
                 .poll_frame(cx)
                 .map_err(|never| match never {}),
-            Self::Stream(stream) => match stream.buffered.take() {
-                Some(buffered) => Poll::Ready(Some(Ok(Frame::data(buffered)))),
-                None => Pin::new(&mut stream.rest).poll_frame(cx),
-            },
+            Self::Stream(stream) => stream.poll_frame(cx),
         }
     }
 
