--- a/crates/entry/src/connection/pipeline.rs
+++ b/crates/entry/src/connection/pipeline.rs
@@ -81,14 +81,14 @@
 }
 
 /// Marks the current request as answered when it is dropped.
+///
+/// Requests behind it start at the latest when the library asks for the next one.
 #[derive(Debug)]
 pub struct Guard(Pipeline);
 
 impl Drop for Guard {
     fn drop(&mut self) {
-        let mut inner = self.0.0.lock();
-        inner.current = None;
-        inner.advance();
+        self.0.0.lock().current = None;
     }
 }
 
