feat(entry): lag of tasks, limit of connections and age of a request's connection in logs and metrics

Cause: the logs of the incident CONFIG, GONE start when a request is read, so that they cannot tell connections that wait to be accepted from a saturated processor or from requests behind others. Change: a gauge and lines for the lag of tasks, lines for the limit of connections, connection-ms and lag-ms for each request; logic unchanged.

--- a/crates/entry/src/connection/listener.rs
+++ b/crates/entry/src/connection/listener.rs
@@ -50,13 +50,24 @@
 pub async fn serve(listener: TcpListener, state: Arc<State>, stop: CancellationToken) {
     let descriptors = state.setting().machine.descriptors;
     let permits = (descriptors.saturating_sub(RESERVED_DESCRIPTORS) / 2).max(1) as usize;
+    state.metrics.connection_limit.set(permits as i64);
     let permits = Arc::new(Semaphore::new(permits));
     let tasks = TaskTracker::new();
     loop {
+        let full_since = (permits.available_permits() == 0).then(|| state.now());
+        if full_since.is_some() {
+            warn!(state.log(), "callers: connection limit reached";
+                "connections" => state.metrics.connections.get(),
+                "in-flight" => state.metrics.in_flight.get());
+        }
         let permit = select! {
             () = stop.cancelled() => break,
             permit = Arc::clone(&permits).acquire_owned() => permit,
         };
+        if let Some(since) = full_since {
+            info!(state.log(), "callers: below connection limit again";
+                "ms" => state.now().since(since).as_millis() as u64);
+        }
         let accepted = select! {
             () = stop.cancelled() => break,
             accepted = listener.accept() => accepted,
--- a/crates/entry/src/connection/pipeline.rs
+++ b/crates/entry/src/connection/pipeline.rs
@@ -13,7 +13,7 @@
 use crate::{
     process::state::State,
     request::{
-        handler,
+        handler::{self, Arrival},
         reply::{self, Body},
     },
 };
@@ -57,6 +57,8 @@
 #[derive(Debug)]
 struct Inner {
     state: Arc<State>,
+    /// When the connection was accepted.
+    accepted: Instant,
     reader: OwnedReadHalf,
     /// Bytes that were read before the library asked for them.
     ahead: BytesMut,
@@ -100,6 +102,7 @@
         let (reader, writer) = stream.into_split();
         let inner = Inner {
             state: Arc::clone(state),
+            accepted: state.now(),
             reader,
             ahead: BytesMut::new(),
             ended: false,
@@ -119,21 +122,22 @@
     ///
     /// Returns also the guard of the request, to be dropped when its answer has been written.
     pub async fn answer(&self, request: Request<Incoming>) -> (Response<Body>, Guard) {
-        let (state, pending) = {
+        let (state, accepted, pending) = {
             let mut inner = self.0.lock();
             let pending = inner.take(&request);
-            (Arc::clone(&inner.state), pending)
+            (Arc::clone(&inner.state), inner.accepted, pending)
         };
         let guard = Guard(self.clone());
-        let arrived = pending
+        let read = pending
             .as_ref()
             .map_or_else(|| state.now(), |it| it.arrived);
+        let arrival = Arrival { read, accepted };
         let response = match pending.and_then(|it| it.started) {
             Some(started) => started.await.unwrap_or_else(|error| {
                 warn!(state.log(), "callers: request failed"; "error" => %error);
                 reply::from_host(StatusCode::BAD_GATEWAY, None)
             }),
-            None => handler::handle(&state, request, arrived).await,
+            None => handler::handle(&state, request, arrival).await,
         };
         (response, guard)
     }
@@ -228,8 +232,12 @@
             }
             let (parts, ()) = pending.request.clone().into_parts();
             let request = Request::from_parts(parts, Empty::<Bytes>::new());
-            let (state, arrived) = (Arc::clone(&self.state), pending.arrived);
-            let task = tokio::spawn(async move { handler::handle(&state, request, arrived).await });
+            let state = Arc::clone(&self.state);
+            let arrival = Arrival {
+                read: pending.arrived,
+                accepted: self.accepted,
+            };
+            let task = tokio::spawn(async move { handler::handle(&state, request, arrival).await });
             pending.started = Some(AbortOnDropHandle::new(task));
         }
     }
--- a/crates/entry/src/process/entry.rs
+++ b/crates/entry/src/process/entry.rs
@@ -8,7 +8,7 @@
         control::{self, Purpose},
         feed,
         gossip::Gossip,
-        move_state, probe, relay,
+        lag, move_state, probe, relay,
         state::{Dependencies, State},
     },
     setting::Setting,
@@ -163,6 +163,7 @@
     }
     tokio::spawn(gossip.run(newer_peer_sender, stop.clone()));
     tokio::spawn(relay::run(Arc::clone(state), newer_peers, stop.clone()));
+    tokio::spawn(lag::run(Arc::clone(state), stop.clone()));
     tokio::spawn(probe::run(Arc::clone(state), stop.clone()));
     tokio::spawn(move_state::run(Arc::clone(state), stop.clone()));
     let join = join_hosts(Arc::clone(state));
--- a/crates/entry/src/process/metrics.rs
+++ b/crates/entry/src/process/metrics.rs
@@ -1,7 +1,7 @@
 //! Prometheus metrics of an entry host.
 
 use prometheus::{
-    Error, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+    Error, Gauge, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
 };
 use std::time::Duration;
 
@@ -20,6 +20,10 @@
     pub in_flight: IntGauge,
     /// Number of open connections of callers.
     pub connections: IntGauge,
+    /// Number of callers' connections above which new ones have to wait.
+    pub connection_limit: IntGauge,
+    /// Time in seconds by which tasks last ran late.
+    pub lag: Gauge,
 }
 
 impl Metrics {
@@ -40,6 +44,11 @@
             registry.register(Box::new(gauge.clone()))?;
             Ok::<_, Error>(gauge)
         };
+        let lag = Gauge::new(
+            "azurenotch_entry_lag_seconds",
+            "Time by which tasks last ran late",
+        )?;
+        registry.register(Box::new(lag.clone()))?;
         let options = HistogramOpts::new(
             "azurenotch_entry_latency_seconds",
             "Time from the header of a request to that of its answer",
@@ -67,6 +76,11 @@
                 "azurenotch_entry_connections",
                 "Open connections of callers",
             )?,
+            connection_limit: gauge(
+                "azurenotch_entry_connection_limit",
+                "Limit of callers' connections",
+            )?,
+            lag,
             latency,
             registry,
         })
--- a/crates/entry/src/process/mod.rs
+++ b/crates/entry/src/process/mod.rs
@@ -6,6 +6,7 @@
 pub mod feed;
 pub mod gossip;
 pub mod journal;
+pub mod lag;
 mod message;
 pub mod metrics;
 pub mod move_state;
--- a/crates/entry/src/request/handler.rs
+++ b/crates/entry/src/request/handler.rs
@@ -30,8 +30,17 @@
 /// Largest request body, as a share of the host's memory.
 const MAX_BODY_MEMORY_SHARE: f64 = 0.25;
 
-/// Handles one request, whose header arrived at `arrived`, and returns the answer to the caller.
-pub async fn handle<B>(state: &Arc<State>, request: Request<B>, arrived: Instant) -> Response<Body>
+/// When a request arrived, and on which connection.
+#[derive(Debug, Clone, Copy)]
+pub struct Arrival {
+    /// When its header was read.
+    pub read: Instant,
+    /// When its connection was accepted.
+    pub accepted: Instant,
+}
+
+/// Handles one request and returns the answer to the caller.
+pub async fn handle<B>(state: &Arc<State>, request: Request<B>, arrival: Arrival) -> Response<Body>
 where
     B: HttpBody<Data = Bytes> + Unpin,
 {
@@ -41,7 +50,8 @@
     let id = id.and_then(|id| id.to_str().ok()).unwrap_or("").to_owned();
     let mut exchange = Exchange {
         state,
-        arrived,
+        arrived: arrival.read,
+        accepted: arrival.accepted,
         id,
         route: String::new(),
         workspace: String::new(),
@@ -68,6 +78,7 @@
 struct Exchange<'a> {
     state: &'a State,
     arrived: Instant,
+    accepted: Instant,
     id: String,
     route: String,
     workspace: String,
@@ -219,6 +230,8 @@
             "id" => &self.id, "status" => status, "reason" => reason, "ran" => outcome.ran,
             "route" => &self.route, "workspace" => &self.workspace,
             "configuration" => self.version, "sends" => outcome.sends, "ms" => ms(latency),
+            "connection-ms" => ms(self.arrived.since(self.accepted)),
+            "lag-ms" => (metrics.lag.get() * 1e3) as u64,
             "server" => candidate.map(|candidate| candidate.server.as_str()),
             "version" => candidate.map(|candidate| candidate.release.as_str()),
             "expected-ms" => estimate.map(|estimate| ms(estimate.expected)),
