fix(entry): idle connections give way to new ones, and accepting never stops

Callers saw: requests answered up to 3 s after their route's timeout (CONFIG), and requests sent on after their callers had left (GONE). Cause: a host stopped accepting at its limit of connections (half of its descriptors). Connections without a request held their permits for the whole idle timeout, so that new connections waited in the queue of the kernel with their requests unread; deadlines counted from the reading. Class: a bound whose wait has no deadline and nobody sees. Change: core::process::room decides: the connection that has been idle for longest closes for a new one; if all have a request, the new one is rejected at its first request (503, Retry-After), and beyond a reserve it is closed unread. The limit counts memory as well. A connection reads what has arrived before it closes, at a stop too. Before a request is passed on, the host looks whether its caller has left. Why it works: nothing waits for a permit any more.

--- a/crates/core/src/process/mod.rs
+++ b/crates/core/src/process/mod.rs
@@ -11,6 +11,7 @@
 pub mod presence;
 pub mod quota;
 pub mod retry;
+pub mod room;
 pub mod slot;
 pub mod timeline;
 pub mod warmup;
--- a/crates/entry/src/connection/listener.rs
+++ b/crates/entry/src/connection/listener.rs
@@ -4,6 +4,7 @@
     connection::{
         phase::{self, Tracker},
         pipeline::Pipeline,
+        register::{Register, Ticket},
     },
     process::state::State,
     request::reply::GaugeGuard,
@@ -24,7 +25,6 @@
 use tokio::{
     net::{TcpListener, TcpStream},
     select,
-    sync::Semaphore,
     time::{Sleep, sleep, sleep_until},
 };
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
@@ -39,6 +39,12 @@
 ///
 /// The other half is for connections to backend servers.
 const RESERVED_DESCRIPTORS: u32 = 200;
+/// Largest share of the host's memory for callers' connections.
+const MEMORY_SHARE: f64 = 0.25;
+/// Memory of one connection with its buffers, in bytes.
+const CONNECTION_BYTES: u64 = 24 * 1024;
+/// Time for a caller to send the request that is rejected because there is no room.
+const REJECTION_TIMEOUT: Duration = Duration::from_millis(500);
 /// Delay before the next attempt after a connection could not be accepted.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Time after which unacknowledged bytes close a connection (`TCP_USER_TIMEOUT`).
@@ -46,40 +52,22 @@
 
 /// Serves callers until `stop` is cancelled, then waits for the running requests to end.
 ///
-/// Stops accepting connections while as many are open as the file descriptors allow.
+/// Connections are accepted at once even if too many are open: one that waits for room would keep
+/// its request unread.
 pub async fn serve(listener: TcpListener, state: Arc<State>, stop: CancellationToken) {
-    let descriptors = state.setting().machine.descriptors;
-    let permits = (descriptors.saturating_sub(RESERVED_DESCRIPTORS) / 2).max(1) as usize;
-    state.metrics.connection_limit.set(permits as i64);
-    let permits = Arc::new(Semaphore::new(permits));
+    let register = Register::new(&state, max_connections(&state));
     let tasks = TaskTracker::new();
     loop {
-        let full_since = (permits.available_permits() == 0).then(|| state.now());
-        if full_since.is_some() {
-            warn!(state.log(), "callers: connection limit reached";
-                "connections" => state.metrics.connections.get(),
-                "in-flight" => state.metrics.in_flight.get());
-        }
-        let permit = select! {
-            () = stop.cancelled() => break,
-            permit = Arc::clone(&permits).acquire_owned() => permit,
-        };
-        if let Some(since) = full_since {
-            info!(state.log(), "callers: below connection limit again";
-                "ms" => state.now().since(since).as_millis() as u64);
-        }
         let accepted = select! {
             () = stop.cancelled() => break,
             accepted = listener.accept() => accepted,
         };
         match accepted {
             Ok((stream, _)) => {
-                let state = Arc::clone(&state);
-                let stop = stop.clone();
-                tasks.spawn(async move {
-                    serve_connection(stream, state, stop).await;
-                    drop(permit);
-                });
+                // Without a ticket the stream is closed unread, which shows that nothing has run.
+                if let Some(ticket) = register.open(&stop).await {
+                    tasks.spawn(serve_connection(stream, Arc::clone(&state), ticket));
+                }
             }
             Err(error) => {
                 warn!(state.log(), "callers: accept failed"; "error" => %error);
@@ -92,7 +80,15 @@
     tasks.wait().await;
 }
 
-async fn serve_connection(stream: TcpStream, state: Arc<State>, stop: CancellationToken) {
+/// Returns the largest number of callers' connections that descriptors and memory allow.
+fn max_connections(state: &State) -> usize {
+    let machine = state.setting().machine;
+    let descriptors = machine.descriptors.saturating_sub(RESERVED_DESCRIPTORS) / 2;
+    let memory = machine.memory(MEMORY_SHARE) / CONNECTION_BYTES;
+    (descriptors as usize).min(memory as usize).max(1)
+}
+
+async fn serve_connection(stream: TcpStream, state: Arc<State>, ticket: Ticket) {
     let _connection_count = GaugeGuard::new(&state.metrics.connections);
     let socket = SockRef::from(&stream);
     let configured = socket
@@ -106,11 +102,17 @@
     let idle_timeout = limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| limits.idle_time);
     let max_header_bytes = limits.map_or(READ_BUFFER_BYTES, |limits| limits.header_bytes as usize);
     let header_timeout = limits.map_or(DEFAULT_HEADER_TIMEOUT, |limits| limits.header_time);
-    let tracker = Tracker::default();
+    let admitted = ticket.admitted;
+    let closer = ticket.closer.clone();
+    let tracker = Tracker::new(ticket);
     let mut builder = Builder::new();
     builder
         .timer(TokioTimer::new())
-        .header_read_timeout(idle_timeout)
+        .header_read_timeout(if admitted {
+            idle_timeout
+        } else {
+            REJECTION_TIMEOUT
+        })
         .max_buf_size(READ_BUFFER_BYTES.max(max_header_bytes));
     let log = state.log().clone();
     let (pipeline, stream) = Pipeline::new(stream, &state, READ_BUFFER_BYTES.max(max_header_bytes));
@@ -119,9 +121,16 @@
     let service = service_fn(move |request: Request<Incoming>| {
         let (state, requests) = (Arc::clone(&state), requests.clone());
         let phase = request_tracker.begin_request();
+        let tracker = request_tracker.clone();
         async move {
-            let (mut answer, pending) = requests.answer(request).await;
-            if state.is_leaving() && !requests.has_started() {
+            let (mut answer, pending) = if admitted {
+                let (answer, pending) = requests.answer(request).await;
+                (answer, Some(pending))
+            } else {
+                (requests.reject(&request), None)
+            };
+            let is_last = state.is_leaving() || !admitted || tracker.ticket().is_over_limit();
+            if is_last && !requests.has_started() {
                 let close = HeaderValue::from_static("close");
                 answer.headers_mut().insert(header::CONNECTION, close);
             }
@@ -135,13 +144,16 @@
     loop {
         // The phase changes only while the connection is polled, so checking it here is enough.
         let polled = poll_fn(|cx| {
+            if let Poll::Ready(ended) = connection.as_mut().poll(cx) {
+                return Poll::Ready(Some(ended));
+            }
             // Closing drops the requests behind the current one, so those that run come first.
             if stopping && !closing && !pipeline.has_started() {
                 closing = true;
                 connection.as_mut().graceful_shutdown();
-            }
-            if let Poll::Ready(ended) = connection.as_mut().poll(cx) {
-                return Poll::Ready(Some(ended));
+                if let Poll::Ready(ended) = connection.as_mut().poll(cx) {
+                    return Poll::Ready(Some(ended));
+                }
             }
             if pipeline.poll_ahead(cx).is_ready() {
                 return Poll::Ready(Some(Ok(())));
@@ -166,7 +178,7 @@
                 }
                 return;
             }
-            () = stop.cancelled(), if !stopping => {
+            () = closer.cancelled(), if !stopping => {
                 stopping = true;
             }
         }
--- a/crates/entry/src/connection/mod.rs
+++ b/crates/entry/src/connection/mod.rs
@@ -4,3 +4,4 @@
 pub mod phase;
 pub mod pipeline;
 pub mod pool;
+pub mod register;
--- a/crates/entry/src/connection/phase.rs
+++ b/crates/entry/src/connection/phase.rs
@@ -1,7 +1,8 @@
-//! Tracks how long a caller takes to send a request header.
+//! Tracks whether a connection is idle, and how long a caller takes to send a request header.
 //!
 //! The timer starts at the first byte of the header, so the idle time before it does not count.
 
+use crate::connection::register::Ticket;
 use hyper::body::{Body, Frame, SizeHint};
 use parking_lot::Mutex;
 use std::{
@@ -28,18 +29,31 @@
 
 /// Current phase of one connection, shared by its stream and its answers.
 #[derive(Debug, Clone)]
-pub struct Tracker(Arc<Mutex<Phase>>);
+pub struct Tracker(Arc<Inner>);
 
-impl Default for Tracker {
-    fn default() -> Self {
-        Self(Arc::new(Mutex::new(Phase::Idle)))
-    }
+#[derive(Debug)]
+struct Inner {
+    phase: Mutex<Phase>,
+    ticket: Ticket,
 }
 
 impl Tracker {
+    /// Creates the tracker of an idle connection, which holds its entry in the register.
+    pub fn new(ticket: Ticket) -> Self {
+        Self(Arc::new(Inner {
+            phase: Mutex::new(Phase::Idle),
+            ticket,
+        }))
+    }
+
+    /// Returns the connection's entry in the register.
+    pub fn ticket(&self) -> &Ticket {
+        &self.0.ticket
+    }
+
     /// Returns when the first byte of an incomplete header arrived; `None` if there is none.
     pub fn header_since(&self) -> Option<Instant> {
-        match *self.0.lock() {
+        match *self.0.phase.lock() {
             Phase::Header(since) => Some(since),
             Phase::Idle | Phase::Request => None,
         }
@@ -49,14 +63,16 @@
     ///
     /// The connection is idle again when the returned guard is dropped.
     pub fn begin_request(&self) -> Guard {
-        *self.0.lock() = Phase::Request;
+        *self.0.phase.lock() = Phase::Request;
+        self.0.ticket.begin();
         Guard(self.clone())
     }
 
     fn on_read(&self) {
-        let mut phase = self.0.lock();
+        let mut phase = self.0.phase.lock();
         if *phase == Phase::Idle {
             *phase = Phase::Header(Instant::now());
+            self.0.ticket.begin();
         }
     }
 }
@@ -67,7 +83,8 @@
 
 impl Drop for Guard {
     fn drop(&mut self) {
-        *self.0.0.lock() = Phase::Idle;
+        *self.0.0.phase.lock() = Phase::Idle;
+        self.0.0.ticket.end();
     }
 }
 
--- a/crates/entry/src/connection/pipeline.rs
+++ b/crates/entry/src/connection/pipeline.rs
@@ -27,6 +27,7 @@
 use slog::warn;
 use std::{
     collections::VecDeque,
+    future::{self, poll_fn},
     io,
     pin::Pin,
     sync::Arc,
@@ -132,6 +133,10 @@
             .as_ref()
             .map_or_else(|| state.now(), |it| it.arrived);
         let arrival = Arrival { read, accepted };
+        if poll_fn(|cx| Poll::Ready(self.poll_ahead(cx).is_ready())).await {
+            // The caller has left; the connection ends before the answer is missed.
+            return future::pending().await;
+        }
         let response = match pending.and_then(|it| it.started) {
             Some(started) => started.await.unwrap_or_else(|error| {
                 warn!(state.log(), "callers: request failed"; "error" => %error);
@@ -142,6 +147,16 @@
         (response, guard)
     }
 
+    /// Rejects a request of the library, because the host has no room for its connection.
+    pub fn reject(&self, request: &Request<Incoming>) -> Response<Body> {
+        let (state, accepted) = {
+            let inner = self.0.lock();
+            (Arc::clone(&inner.state), inner.accepted)
+        };
+        let read = state.now();
+        handler::reject_connection(&state, request, Arrival { read, accepted })
+    }
+
     /// Returns whether a request behind the current one has been started.
     ///
     /// The connection must not be closed before it has been answered.
--- a/crates/entry/src/process/metrics.rs
+++ b/crates/entry/src/process/metrics.rs
@@ -16,11 +16,12 @@
     attempts: IntCounterVec,
     latency: HistogramVec,
     store: IntCounterVec,
+    accepted: IntCounterVec,
     /// Number of requests that have not ended.
     pub in_flight: IntGauge,
     /// Number of open connections of callers.
     pub connections: IntGauge,
-    /// Number of callers' connections above which new ones have to wait.
+    /// Number of callers' connections above which idle ones are closed for new ones.
     pub connection_limit: IntGauge,
     /// Time in seconds by which tasks last ran late.
     pub lag: Gauge,
@@ -66,6 +67,11 @@
                 "Sends to backend servers by service and ending",
                 &["service", "ending"],
             )?,
+            accepted: vector(
+                "azurenotch_entry_accepted_connections_total",
+                "Connections of callers by what became of them",
+                &["decision"],
+            )?,
             store: vector(
                 "azurenotch_entry_store_calls_total",
                 "Calls to the platform's store by subject and result",
@@ -103,6 +109,11 @@
         self.attempts.with_label_values(&[service, ending]).inc();
     }
 
+    /// Counts a new connection of a caller.
+    pub fn count_connection(&self, decision: &str) {
+        self.accepted.with_label_values(&[decision]).inc();
+    }
+
     /// Counts a call to the store.
     pub fn count_store_call(&self, subject: &str, result: &str) {
         self.store.with_label_values(&[subject, result]).inc();
--- a/crates/entry/src/request/handler.rs
+++ b/crates/entry/src/request/handler.rs
@@ -27,6 +27,8 @@
 const NO_CONFIGURATION_RETRY_DELAY: Duration = Duration::from_millis(300);
 /// Retry delay for callers whose request body finds no memory.
 const NO_MEMORY_RETRY_DELAY: Duration = Duration::from_millis(500);
+/// Retry delay for callers whose connection finds no room.
+const NO_ROOM_RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Largest request body, as a share of the host's memory.
 const MAX_BODY_MEMORY_SHARE: f64 = 0.25;
 
@@ -45,22 +47,26 @@
     B: HttpBody<Data = Bytes> + Unpin,
 {
     let _in_flight = GaugeGuard::new(&state.metrics.in_flight);
-    let protocol = state.dependencies.format.protocol();
-    let id = request.headers().get(&protocol.request_id);
-    let id = id.and_then(|id| id.to_str().ok()).unwrap_or("").to_owned();
-    let mut exchange = Exchange {
-        state,
-        arrived: arrival.read,
-        accepted: arrival.accepted,
-        id,
-        route: String::new(),
-        workspace: String::new(),
-        version: 0,
-    };
+    let mut exchange = Exchange::new(state, &request, arrival);
     let outcome = exchange.answer(request).await;
     exchange.finish(outcome)
 }
 
+/// Rejects a request on a connection for which the host has no room.
+pub fn reject_connection<B>(
+    state: &Arc<State>,
+    request: &Request<B>,
+    arrival: Arrival,
+) -> Response<Body> {
+    let wait = admission::retry_after(NO_ROOM_RETRY_DELAY, random());
+    let outcome = refuse(
+        StatusCode::SERVICE_UNAVAILABLE,
+        Reason::ConnectionLimit,
+        wait,
+    );
+    Exchange::new(state, request, arrival).finish(outcome)
+}
+
 /// Returns the route and the workspace of a request.
 ///
 /// # Errors
@@ -85,7 +91,22 @@
     version: u64,
 }
 
-impl Exchange<'_> {
+impl<'a> Exchange<'a> {
+    fn new<B>(state: &'a State, request: &Request<B>, arrival: Arrival) -> Self {
+        let protocol = state.dependencies.format.protocol();
+        let id = request.headers().get(&protocol.request_id);
+        let id = id.and_then(|id| id.to_str().ok()).unwrap_or("").to_owned();
+        Self {
+            state,
+            arrived: arrival.read,
+            accepted: arrival.accepted,
+            id,
+            route: String::new(),
+            workspace: String::new(),
+            version: 0,
+        }
+    }
+
     /// Checks the request and forwards it unless a check fails.
     async fn answer<B>(&mut self, request: Request<B>) -> Outcome
     where
--- a/crates/entry/src/request/reply.rs
+++ b/crates/entry/src/request/reply.rs
@@ -145,6 +145,9 @@
 /// Reason why the host answers a request itself, without the answer of a backend server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
 pub enum Reason {
+    /// All connections that the host may have are in use.
+    #[display("connection-limit")]
+    ConnectionLimit,
     /// The host has no configuration yet.
     #[display("no-configuration")]
     NoConfiguration,
