perf(entry): a connection without a request has no memory for its processing

Cause: the HTTP library keeps the future of a request (4,856 bytes) allocated for as long as the connection is open, whether it has a request or not. Change: the processing is boxed when a request begins.

--- a/crates/entry/src/connection/listener.rs
+++ b/crates/entry/src/connection/listener.rs
@@ -124,7 +124,8 @@
         let tracker = request_tracker.clone();
         async move {
             let (mut answer, pending) = if admitted {
-                let (answer, pending) = requests.answer(request).await;
+                // Boxed, so that a connection without a request has no memory for its processing.
+                let (answer, pending) = Box::pin(requests.answer(request)).await;
                 (answer, Some(pending))
             } else {
                 (requests.reject(&request), None)
