feat(entry): servers that say in their answers that they are leaving, or ask for a pause, are heeded

Cause: only a server's row told hosts that it leaves, and a 503 with Retry-After was an ordinary rejection that counted as half a failure. Change: both headers are read from every answer, rejections and health checks included. Leaving is bound to the process (name and start time), outlives the listing and goes to the other hosts in the tail of a message; such a server gets requests only while no other can take them, up to four fifths of the drain bound. A pause counts from the answer, the longest wins, requests return by steps over a second, and hosts return up to 500 ms apart. If all servers pause, requests are rejected with the time until the first pause ends. Messages of builds without a tail are read, and these ignore the tail.

--- a/crates/core/src/request/admission.rs
+++ b/crates/core/src/request/admission.rs
@@ -87,5 +87,12 @@
         + RETRY_JITTER.mul_f64(jitter.clamp(0.0, 1.0))
 }
 
+/// Returns the delay before a caller retries whose servers have all asked for a pause.
+///
+/// `until_first_end` is the time until the first pause ends; `jitter` is a random number in 0..1.
+pub fn retry_after_pause(until_first_end: Duration, jitter: f64) -> Duration {
+    until_first_end + RETRY_JITTER.mul_f64(jitter.clamp(0.0, 1.0))
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/core/src/request/mod.rs
+++ b/crates/core/src/request/mod.rs
@@ -7,4 +7,5 @@
 pub mod header;
 pub mod once;
 pub mod path;
+pub mod pause;
 pub mod retry;
--- a/crates/core/src/version/placement/entry.rs
+++ b/crates/core/src/version/placement/entry.rs
@@ -34,6 +34,10 @@
 const FIRST_BACKOFF: Duration = Duration::from_millis(250);
 /// Longest back-off after a server was unreachable.
 const MAX_BACKOFF: Duration = Duration::from_secs(2);
+/// Time over which requests return to a server after a pause that it has asked for.
+const RETURN_TIME: Duration = Duration::from_secs(1);
+/// Share of the objects whose requests return at once.
+const FIRST_RETURN_SHARE: f64 = 0.2;
 /// Round-trip times assumed before the first measurement, by tier.
 const INITIAL_RTT: [Duration; 3] = [
     Duration::from_micros(500),
@@ -82,6 +86,10 @@
     relative_time: f64,
     failure: (Instant, f64),
     backoff: Option<(Instant, Duration)>,
+    /// When this process of the server was first heard to be leaving.
+    pub(super) leaving: Option<Instant>,
+    /// End of the pause that the server has asked for.
+    paused_until: Instant,
     rtt: Duration,
     cold_until: Instant,
     warmup_limiter: Limiter,
@@ -113,6 +121,8 @@
             relative_time: 1.0,
             failure: (now, 0.0),
             backoff: None,
+            leaving: None,
+            paused_until: Instant::ZERO,
             rtt: INITIAL_RTT[backend.tier as usize],
             cold_until: now + backend.cold,
             warmup_limiter: Limiter::new(now),
@@ -124,9 +134,13 @@
 
     pub(super) fn update(&mut self, now: Instant, backend: &Backend) {
         if self.backend.incarnation != backend.incarnation || !self.listed {
-            let in_flight = self.in_flight;
+            let same_process = self.backend.incarnation == backend.incarnation;
+            let (in_flight, paused_until) = (self.in_flight, self.paused_until);
             *self = Self::new(now, backend);
             self.in_flight = in_flight;
+            if same_process {
+                self.paused_until = paused_until;
+            }
             return;
         }
         if !backend.cold.is_zero() {
@@ -174,6 +188,7 @@
         self.listed
             && !self.awaits_health_check
             && !self.backend.draining
+            && self.has_returned(now, query.object)
             && may_send
             && self.backoff.is_none_or(|(until, _)| now >= until)
             && query.release.is_none_or(|it| *it == self.backend.release)
@@ -182,6 +197,38 @@
             && !query.excluded_regions.contains(&self.backend.region)
     }
 
+    /// Withholds requests until `until`, or longer if the server has asked for a longer pause.
+    pub(super) fn pause(&mut self, until: Instant) {
+        self.paused_until = self.paused_until.max(until);
+    }
+
+    /// Returns whether a request may go to the server after its last pause.
+    ///
+    /// Requests return by steps: the share of the objects grows over [`RETURN_TIME`].
+    fn has_returned(&self, now: Instant, object: Option<u64>) -> bool {
+        if self.is_paused(now) {
+            return false;
+        }
+        let since = now.since(self.paused_until);
+        if self.paused_until == Instant::ZERO || since >= RETURN_TIME {
+            return true;
+        }
+        let share = since.as_secs_f64() / RETURN_TIME.as_secs_f64();
+        let place = (mix(!self.hash, object.unwrap_or_default()) >> 32) as f64;
+        place / f64::from(u32::MAX) < share.max(FIRST_RETURN_SHARE)
+    }
+
+    pub(super) fn is_paused(&self, now: Instant) -> bool {
+        now < self.paused_until
+    }
+
+    /// Returns when requests may return to a server that would get some but for its pause.
+    pub(super) fn pause_end(&self, now: Instant, query: &Query<'_>) -> Option<Instant> {
+        let returned = self.paused_until + RETURN_TIME;
+        let waits = now < returned && self.leaving.is_none() && self.is_usable(returned, query);
+        waits.then_some(self.paused_until)
+    }
+
     /// Returns the rank of the server for an object; the highest-ranked one is its home server.
     pub(super) fn rank(&self, object: u64) -> u64 {
         mix(self.hash, object)
@@ -230,7 +277,7 @@
     pub(super) fn end(&mut self, now: Instant, verdict: Verdict) {
         self.in_flight = self.in_flight.saturating_sub(1);
         let failed = match verdict {
-            Verdict::Abandoned => return,
+            Verdict::Abandoned | Verdict::Paused => return,
             Verdict::Answered => 0.0,
             Verdict::Shed => 0.5,
             Verdict::Failed | Verdict::Unreachable => 1.0,
@@ -253,7 +300,7 @@
                 self.observe_load(now, load);
             }
             Verdict::Answered => self.backoff = None,
-            Verdict::Failed | Verdict::Abandoned => {}
+            Verdict::Failed | Verdict::Abandoned | Verdict::Paused => {}
         }
     }
 
--- a/crates/core/src/version/placement/mod.rs
+++ b/crates/core/src/version/placement/mod.rs
@@ -60,6 +60,11 @@
 /// to the next when its queues are long.
 const REGION_RANK_COST_SHARE: f64 = 0.1;
 
+/// Maximum number of leaving servers that are remembered.
+const MAX_LEAVING: usize = 4096;
+/// Time after which a server without a start time counts as restarted since it said it was leaving.
+const UNKNOWN_PROCESS_LEAVES_FOR: Duration = Duration::from_mins(1);
+
 /// Requirements of a request on the backend server.
 #[derive(Debug, Clone, Copy)]
 pub struct Query<'a> {
@@ -111,6 +116,8 @@
     Failed,
     /// The server was unreachable.
     Unreachable,
+    /// The server declined the request and asked for a pause, which is no failure.
+    Paused,
     /// The attempt ended for a reason that does not concern the server.
     Abandoned,
 }
@@ -137,6 +144,25 @@
     /// Estimates of the work by the hash of the route.
     work: Map<u32, Work>,
     cold_per_s: f64,
+    /// Processes of servers that said that they are leaving; outlives their listings.
+    leaving: Map<Server, Leave>,
+    /// Time for which a leaving server may get requests that no other server can take.
+    drain: Duration,
+}
+
+/// Process of a backend server that said that it is leaving.
+#[derive(Debug, Clone, Copy)]
+struct Leave {
+    incarnation: u64,
+    since: Instant,
+}
+
+impl Leave {
+    /// Returns whether this is the process with an incarnation, which is 0 if unknown.
+    fn is(&self, now: Instant, incarnation: u64) -> bool {
+        let restarted = incarnation == 0 && now.since(self.since) >= UNKNOWN_PROCESS_LEAVES_FOR;
+        self.incarnation == incarnation && !restarted
+    }
 }
 
 impl Placement {
@@ -151,9 +177,16 @@
             objective,
             work: Map::default(),
             cold_per_s,
+            leaving: Map::default(),
+            drain: Duration::ZERO,
         }
     }
 
+    /// Sets how long a leaving server may get requests that no other server can take.
+    pub fn set_drain(&mut self, drain: Duration) {
+        self.drain = drain;
+    }
+
     /// Sets the requests per second that all hosts together may send to a cold server.
     pub fn set_cold_per_s(&mut self, cold_per_s: f64) {
         self.cold_per_s = cold_per_s;
@@ -161,11 +194,16 @@
 
     /// Adds a backend server, or updates its listing.
     pub fn insert(&mut self, now: Instant, backend: &Backend) {
+        let leaving = self.leaving.get(&backend.server);
+        let leaving = leaving.filter(|it| it.is(now, backend.incarnation));
+        let leaving = leaving.map(|it| it.since);
         if let Some(index) = self.index.get(&backend.server) {
             self.entries[*index].update(now, backend);
+            self.entries[*index].leaving = leaving;
             return;
         }
-        let entry = Entry::new(now, backend);
+        let mut entry = Entry::new(now, backend);
+        entry.leaving = leaving;
         let reusable = self.entries.iter().position(Entry::is_reusable);
         let index = reusable.unwrap_or(self.entries.len());
         match reusable {
@@ -225,6 +263,61 @@
         self.entries[index].set_cold(now, left);
     }
 
+    /// Records that a server said that it is leaving; returns whether that is new.
+    pub fn announce_leaving(&mut self, now: Instant, index: usize) -> bool {
+        let entry = &mut self.entries[index];
+        if entry.leaving.is_some() || !entry.is_listed() {
+            return false;
+        }
+        entry.leaving = Some(now);
+        let leave = Leave {
+            incarnation: entry.backend.incarnation,
+            since: now,
+        };
+        self.leaving.insert(entry.backend.server.clone(), leave);
+        if self.leaving.len() > MAX_LEAVING {
+            let mut ages: Vec<Instant> = self.leaving.values().map(|it| it.since).collect();
+            ages.sort_unstable();
+            let oldest_kept = ages[MAX_LEAVING / 2];
+            self.leaving.retain(|_, it| it.since >= oldest_kept);
+        }
+        true
+    }
+
+    /// Records what another host heard of the server whose name has the hash `server`.
+    pub fn receive_leaving(&mut self, now: Instant, server: u32, incarnation: u64) -> bool {
+        let index = self.index_by_hash.get(&server).copied();
+        let index = index.filter(|index| self.backend(*index).incarnation == incarnation);
+        index.is_some_and(|index| self.announce_leaving(now, index))
+    }
+
+    /// Returns the listed servers that said within `max_age` that they are leaving.
+    pub fn leaving(&self, now: Instant, max_age: Duration) -> impl Iterator<Item = &Backend> {
+        let entries = self.entries.iter().filter(move |entry| {
+            let recent = entry.leaving.is_some_and(|at| now.since(at) < max_age);
+            recent && entry.is_listed()
+        });
+        entries.map(|entry| &entry.backend)
+    }
+
+    /// Withholds requests from a server until `until`, as it has asked for.
+    pub fn pause(&mut self, index: usize, until: Instant) {
+        self.entries[index].pause(until);
+    }
+
+    /// Returns whether a server has asked for a pause that has not ended.
+    pub fn is_paused(&self, now: Instant, index: usize) -> bool {
+        self.entries[index].is_paused(now)
+    }
+
+    /// Returns when the first pause ends after which a server can take the request.
+    pub fn pause_end(&self, now: Instant, query: &Query<'_>) -> Option<Instant> {
+        let entries = self.entries.iter();
+        entries
+            .filter_map(|entry| entry.pause_end(now, query))
+            .min()
+    }
+
     /// Withholds requests from the server until [`Self::confirm_health`] is called.
     pub fn require_health_check(&mut self, index: usize) {
         self.entries[index].awaits_health_check = true;
@@ -270,12 +363,28 @@
         for entry in &mut self.entries {
             entry.refresh(now, cold_per_s);
         }
-        let rankings = self.region_rankings(now, query);
+        let drain = self.drain;
+        let stays = |entry: &Entry| entry.leaving.is_none();
+        let leaves = |entry: &Entry| entry.leaving.is_some_and(|at| now.since(at) < drain);
+        let chosen = self.choose_among(now, query, stays);
+        chosen.or_else(|| self.choose_among(now, query, leaves))
+    }
+
+    fn choose_among(
+        &self,
+        now: Instant,
+        query: &Query<'_>,
+        belongs: impl Fn(&Entry) -> bool,
+    ) -> Option<Choice> {
+        let rankings = self.region_rankings(now, query, &belongs);
         let work = self.estimates(query.route);
         let pressure = self.pressure(now);
         let mut best: Option<(f64, Choice)> = None;
         for (index, entry) in self.entries.iter().enumerate() {
-            if !entry.is_usable(now, query) || query.excluded_servers.contains(&index) {
+            if !belongs(entry)
+                || !entry.is_usable(now, query)
+                || query.excluded_servers.contains(&index)
+            {
                 continue;
             }
             let hit_probability = entry.hit_probability(
@@ -364,13 +473,18 @@
     }
 
     /// Returns the two highest-ranked servers of each region for the object.
-    fn region_rankings(&self, now: Instant, query: &Query<'_>) -> Vec<RegionRanking> {
+    fn region_rankings(
+        &self,
+        now: Instant,
+        query: &Query<'_>,
+        belongs: impl Fn(&Entry) -> bool,
+    ) -> Vec<RegionRanking> {
         let mut rankings: Vec<RegionRanking> = Vec::new();
         let Some(object) = query.object else {
             return rankings;
         };
         for (index, entry) in self.entries.iter().enumerate() {
-            if !entry.is_usable(now, query) {
+            if !belongs(entry) || !entry.is_usable(now, query) {
                 continue;
             }
             let rank = entry.rank(object);
--- a/crates/core/src/version/placement/tests.rs
+++ b/crates/core/src/version/placement/tests.rs
@@ -3,6 +3,7 @@
 use super::{Backend, Choice, Load, Placement, Query, Tier, Verdict};
 use azurenotch_wire::time::Instant;
 use std::time::Duration;
+use test_case::test_case;
 
 const OBJECTIVE: Duration = Duration::from_millis(500);
 
@@ -249,3 +250,106 @@
     let share = far.count() as f64 / objects as f64;
     assert!((0.35..=0.65).contains(&share), "{share} go to one region");
 }
+
+const DRAIN: Duration = Duration::from_secs(2);
+
+fn index(placement: &Placement, number: usize) -> usize {
+    let server = format!("s{number}").into();
+    placement.find(&server).expect("the server is listed")
+}
+
+#[test]
+fn a_leaving_server_gets_work_only_while_no_other_can() {
+    let mut placement = placement(2, 0);
+    placement.set_drain(DRAIN);
+    let leaving = index(&placement, 0);
+    assert!(placement.announce_leaving(Instant::ZERO, leaving));
+    assert!(!placement.announce_leaving(Instant::ZERO, leaving));
+    for object in 0..100 {
+        let choice = choose(&mut placement, Instant::ZERO, object);
+        assert_ne!(choice.index, leaving);
+    }
+    placement.remove(&"s1".into());
+    let early = Instant::ZERO + DRAIN / 2;
+    assert_eq!(choose(&mut placement, early, 1).index, leaving);
+    assert!(placement.choose(Instant::ZERO + DRAIN, &query(1)).is_none());
+}
+
+/// What happens to a server after it has said that it is leaving.
+struct Return {
+    relisted: bool,
+    incarnation: u64,
+    /// Whether it may get requests again.
+    usable: bool,
+}
+
+#[test_case(Return { relisted: false, incarnation: 1, usable: false }; "its listing is updated")]
+#[test_case(Return { relisted: true, incarnation: 1, usable: false }; "its listing lapsed and returned")]
+#[test_case(Return { relisted: true, incarnation: 2, usable: true }; "it starts again under its name")]
+#[test_case(Return { relisted: false, incarnation: 2, usable: true }; "it starts again while it is listed")]
+fn leaving_belongs_to_the_process_that_said_it(case: Return) {
+    let mut placement = placement(1, 0);
+    let leaving = index(&placement, 0);
+    placement.announce_leaving(Instant::ZERO, leaving);
+    if case.relisted {
+        placement.remove(&"s0".into());
+        // Its place is taken by another server meanwhile.
+        placement.insert(Instant::ZERO, &backend(7, Tier::Local));
+        placement.remove(&"s7".into());
+    }
+    let listing = Backend {
+        incarnation: case.incarnation,
+        ..backend(0, Tier::Local)
+    };
+    placement.insert(Instant::ZERO, &listing);
+    let chosen = placement.choose(Instant::ZERO, &query(1));
+    assert_eq!(chosen.is_some(), case.usable);
+}
+
+#[test]
+fn a_paused_server_gets_nothing_until_the_longest_pause_ends() {
+    let mut placement = placement(2, 0);
+    let paused = index(&placement, 0);
+    let at = |ms| Instant::ZERO + Duration::from_millis(ms);
+    placement.pause(paused, at(3_000));
+    placement.pause(paused, at(1_000));
+    for ms in (0..3_000).step_by(10) {
+        assert_ne!(choose(&mut placement, at(ms), ms).index, paused);
+    }
+    let other = index(&placement, 1);
+    placement.pause(other, at(5_000));
+    assert!(placement.choose(at(2_900), &query(1)).is_none());
+    assert_eq!(placement.pause_end(at(2_900), &query(1)), Some(at(3_000)));
+    assert_eq!(choose(&mut placement, at(4_000), 1).index, paused);
+}
+
+#[test]
+fn requests_return_by_steps_after_a_pause() {
+    let mut placement = placement(2, 0);
+    let paused = index(&placement, 0);
+    let end = Instant::ZERO + Duration::from_secs(2);
+    let share = |placement: &mut Placement, ms| {
+        let now = end + Duration::from_millis(ms);
+        let chosen = (0..200).map(|object| choose(placement, now, object).index);
+        chosen.filter(|it| *it == paused).count()
+    };
+    placement.pause(paused, end);
+    let counts = [0, 300, 600, 1_000].map(|ms| share(&mut placement, ms));
+    assert!(counts[0] > 0, "{counts:?}");
+    assert!(
+        counts.windows(2).all(|pair| pair[0] < pair[1]),
+        "{counts:?}"
+    );
+}
+
+#[test]
+fn a_pause_is_no_failure() {
+    let mut placement = placement(1, 0);
+    let choice = choose(&mut placement, Instant::ZERO, 1);
+    for _ in 0..20 {
+        placement.begin(Instant::ZERO, &choice, None);
+        placement.end(Instant::ZERO, &choice, Verdict::Paused, OBJECTIVE);
+    }
+    let again = choose(&mut placement, Instant::ZERO, 1);
+    assert_eq!(again.expected, choice.expected);
+}
--- a/crates/entry/src/process/change.rs
+++ b/crates/entry/src/process/change.rs
@@ -6,6 +6,7 @@
 };
 use crate::{
     model::Config,
+    setting::Setting,
     version::{catalog::Catalog, fleet::Fleet},
 };
 use azurenotch_core::process::quota::{self, Quota};
@@ -19,6 +20,8 @@
 
 /// Latency objective of a service that no route uses.
 const DEFAULT_OBJECTIVE: Duration = Duration::from_secs(1);
+/// Share of the drain bound in which a leaving server may get requests that no other can take.
+const LAST_RESORT_SHARE: f64 = 0.8;
 
 impl State {
     /// Applies changes of the platform's rows; `source` says in log lines where they came from.
@@ -114,6 +117,7 @@
                 Fleet::new(objective(config, service), limit)
             });
             fleet.set_config(service_config);
+            fleet.placement.set_drain(last_resort_time(&self.setting()));
         }
         let count = fleets.len();
         drop(fleets);
@@ -182,6 +186,11 @@
     }
 }
 
+/// Returns how long a leaving server may get requests that no other server can take.
+pub(super) fn last_resort_time(setting: &Setting) -> Duration {
+    setting.bounds.drain.mul_f64(LAST_RESORT_SHARE)
+}
+
 fn objective(config: &Config, service: &Service) -> Duration {
     let routes = config.routes.values();
     let routes = routes.filter(|route| route.parts.iter().any(|(part, _)| part == service));
--- a/crates/entry/src/process/gossip.rs
+++ b/crates/entry/src/process/gossip.rs
@@ -9,7 +9,7 @@
 use crate::{
     platform::Subject,
     process::{
-        message::{FreshnessReport, Head, Message},
+        message::{FreshnessReport, Head, Message, Tail},
         state::State,
     },
 };
@@ -47,6 +47,10 @@
 const UPDATE_SUBJECTS: [Subject; 2] = [Subject::Orders, Subject::Servers];
 /// Age up to which the load of a backend server is sent.
 const MAX_LOAD_AGE: Duration = Duration::from_millis(700);
+/// Time for which a host tells the others that a backend server is leaving.
+const MAX_LEAVING_AGE: Duration = Duration::from_secs(4);
+/// Maximum number of leaving servers that one message names.
+const MAX_LEAVING_PER_ROUND: usize = 40;
 /// Time between two checks for missing messages.
 const REACH_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -142,7 +146,9 @@
     }
 
     async fn send_round(&self, targets: &[(Option<Host>, SocketAddr)]) {
-        let body = match rmp_serde::to_vec(&self.message()) {
+        let encoded = rmp_serde::to_vec(&self.message())
+            .and_then(|message| Ok([message, rmp_serde::to_vec(&self.tail())?].concat()));
+        let body = match encoded {
             Ok(body) => body,
             Err(error) => {
                 warn!(self.state.log(), "gossip: cannot encode message"; "error" => %error);
@@ -236,6 +242,18 @@
         }
     }
 
+    fn tail(&self) -> Tail {
+        let now = self.state.now();
+        let fleets = self.state.fleets.lock();
+        let leaving = fleets
+            .values()
+            .flat_map(|fleet| fleet.placement.leaving(now, MAX_LEAVING_AGE));
+        let leaving = leaving.map(|it| (hash32(it.server.as_str()), it.incarnation));
+        Tail {
+            leaving: leaving.take(MAX_LEAVING_PER_ROUND).collect(),
+        }
+    }
+
     fn message(&self) -> Message {
         let state = &self.state;
         let now = state.now();
--- a/crates/entry/src/process/gossip/inbound.rs
+++ b/crates/entry/src/process/gossip/inbound.rs
@@ -5,7 +5,7 @@
     model::Fact,
     platform::Subject,
     process::{
-        message::{self, FreshnessReport, Head, Message},
+        message::{self, FreshnessReport, Head, Message, Tail},
         replica::Update,
     },
 };
@@ -50,9 +50,9 @@
                 }
             };
             match message::decode(&buffer[..length]) {
-                Ok((head, message)) => {
+                Ok((head, message, tail)) => {
                     let target = (Some(message.peer.host.clone()), message.peer.address);
-                    let received = self.receive_message(from.ip(), head, message);
+                    let received = self.receive_message(from.ip(), head, message, &tail);
                     if let Some(newer_peer) = received.newer_peer {
                         newer_peers.send_replace(Some(newer_peer));
                     }
@@ -69,7 +69,7 @@
         }
     }
 
-    fn receive_message(&self, from: IpAddr, head: Head, message: Message) -> Received {
+    fn receive_message(&self, from: IpAddr, head: Head, message: Message, tail: &Tail) -> Received {
         let state = &self.state;
         let now = state.now();
         let host = message.peer.host.clone();
@@ -113,6 +113,7 @@
             self.receive_rates(now, &host, &message.rates);
         }
         self.receive_loads(now, &message.loads);
+        self.receive_leaving(now, &tail.leaving);
         self.receive_updates(message.updates);
         self.receive_outcomes(message.outcomes);
         let newer = self.confirm(
@@ -195,6 +196,18 @@
         self.state.apply(changes, "peer");
     }
 
+    fn receive_leaving(&self, now: Instant, leaving: &[(u32, u64)]) {
+        let mut fleets = self.state.fleets.lock();
+        for (server, incarnation) in leaving {
+            for (service, fleet) in fleets.iter_mut() {
+                if fleet.placement.receive_leaving(now, *server, *incarnation) {
+                    info!(self.state.log(), "servers: server is leaving";
+                        "server-hash" => server, "service" => %service, "source" => "peer");
+                }
+            }
+        }
+    }
+
     fn receive_loads(&self, now: Instant, loads: &[(u32, u16, u16, u16)]) {
         let mut fleets = self.state.fleets.lock();
         for (server, running, waiting, slots) in loads {
--- a/crates/entry/src/process/message.rs
+++ b/crates/entry/src/process/message.rs
@@ -44,6 +44,13 @@
     pub(crate) loads: Vec<(u32, u16, u16, u16)>,
 }
 
+/// End of a datagram, which builds before it neither send nor read.
+#[derive(Debug, Default, Serialize, Deserialize)]
+pub(crate) struct Tail {
+    /// Backend servers that said that they are leaving: hash of the server, start of its process.
+    pub(crate) leaving: Vec<(u32, u64)>,
+}
+
 /// How current the sender's rows of one subject are.
 #[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 pub(crate) struct FreshnessReport {
@@ -68,10 +75,15 @@
 ///
 /// # Errors
 ///
-/// Fails if the datagram does not have the format of this build.
-pub(crate) fn decode(bytes: &[u8]) -> Result<(Head, Message), rmp_serde::decode::Error> {
+/// Fails if the datagram has neither the format of this build nor that of one without a tail.
+pub(crate) fn decode(bytes: &[u8]) -> Result<(Head, Message, Tail), rmp_serde::decode::Error> {
     let mut reader = bytes;
     let head = rmp_serde::from_read(&mut reader)?;
     let message = rmp_serde::from_read(&mut reader)?;
-    Ok((head, message))
+    let tail = if reader.is_empty() {
+        Tail::default()
+    } else {
+        rmp_serde::from_read(&mut reader)?
+    };
+    Ok((head, message, tail))
 }
--- a/crates/entry/src/process/probe.rs
+++ b/crates/entry/src/process/probe.rs
@@ -1,6 +1,6 @@
 //! Health checks of backend servers that may have become cold unnoticed.
 
-use crate::{connection::pool::Pool, process::state::State};
+use crate::{connection::pool::Pool, process::state::State, request::head};
 use azurenotch_wire::id::Service;
 use bytes::Bytes;
 use http::{HeaderMap, Request, StatusCode, header};
@@ -43,10 +43,12 @@
 }
 
 fn due_checks(state: &State) -> Vec<Check> {
+    let now = state.now();
     let mut checks = Vec::new();
     for (service, fleet) in state.fleets.lock().iter() {
         for (index, backend) in fleet.placement.backends() {
-            if !fleet.placement.awaits_health_check(index) || backend.draining {
+            let paused = fleet.placement.is_paused(now, index);
+            if !fleet.placement.awaits_health_check(index) || backend.draining || paused {
                 continue;
             }
             if let Some(pool) = fleet.pool(index) {
@@ -70,6 +72,9 @@
         let protocol = state.dependencies.format.protocol();
         let text = |name| headers.get(name).and_then(|value| value.to_str().ok());
         let same = text(&protocol.server) == Some(self.server.as_str());
+        if same && head::is_leaving(&headers, protocol) {
+            state.record_leaving(&self.service, &self.server);
+        }
         if code != StatusCode::OK || !same {
             return;
         }
--- a/crates/entry/src/process/state.rs
+++ b/crates/entry/src/process/state.rs
@@ -3,7 +3,7 @@
 use crate::{
     model::Peer,
     platform::{Format, Store, Subject},
-    process::{metrics::Metrics, replica::Replica},
+    process::{change::last_resort_time, metrics::Metrics, replica::Replica},
     setting::Setting,
     version::{
         catalog::Catalog,
@@ -19,11 +19,11 @@
 use azurenotch_platform::Clock;
 use azurenotch_wire::{
     Map, hash,
-    id::{Host, Region, Service, Workspace},
+    id::{Host, Region, Server, Service, Workspace},
     time::Instant,
 };
 use parking_lot::Mutex;
-use slog::Logger;
+use slog::{Logger, info};
 use std::{
     sync::{
         Arc, OnceLock,
@@ -175,6 +175,7 @@
         let limit = repeat_limit(&setting);
         for fleet in self.fleets.lock().values_mut() {
             fleet.budget.set_limit(limit);
+            fleet.placement.set_drain(last_resort_time(&setting));
         }
         let contact = setting.bounds.contact;
         self.membership.lock().presence.set_contact_bound(contact);
@@ -285,6 +286,20 @@
             + 1
     }
 
+    /// Records that a backend server said that it is leaving, and tells the other hosts.
+    pub fn record_leaving(&self, service: &Service, server: &Server) {
+        let now = self.now();
+        let is_new = self.fleets.lock().get_mut(service).is_some_and(|fleet| {
+            let index = fleet.placement.find(server);
+            index.is_some_and(|index| fleet.placement.announce_leaving(now, index))
+        });
+        if is_new {
+            info!(self.log(), "servers: server is leaving"; "server" => %server,
+                "service" => %service, "source" => "answer");
+            self.gossip_wakeup.notify_one();
+        }
+    }
+
     /// Recomputes which hosts may send requests to each backend server while it is cold.
     pub fn update_warmup_senders(&self, now: Instant) {
         let membership = self.membership.lock();
--- a/crates/entry/src/protocol.rs
+++ b/crates/entry/src/protocol.rs
@@ -19,6 +19,8 @@
     pub signature: HeaderName,
     /// Header of an answer to a request that the backend server did not run.
     pub not_run: HeaderName,
+    /// Header with the value 1 in all answers of a backend server that is leaving.
+    pub leaving: HeaderName,
     /// Header with the load of a backend server: running and waiting requests, and slots.
     pub load: HeaderName,
     /// Header with the id of the answering backend server.
--- a/crates/entry/src/request/attempt.rs
+++ b/crates/entry/src/request/attempt.rs
@@ -9,7 +9,10 @@
         reply::{Body, GaugeGuard, Stream},
     },
 };
-use azurenotch_core::version::placement::{Choice, Load, Verdict};
+use azurenotch_core::{
+    request::pause,
+    version::placement::{Choice, Load, Verdict},
+};
 use azurenotch_wire::{
     id::{Release, Route, Server, Service},
     time::Instant,
@@ -19,6 +22,7 @@
 use http_body::Body as _;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
+use rand::random;
 use slog::info;
 use std::{sync::Arc, time::Duration};
 use tokio::time::timeout;
@@ -127,7 +131,7 @@
             Verdict::Failed => true,
             // A send cut off after it was already slow is the same evidence as a slow answer.
             Verdict::Abandoned if slow => false,
-            Verdict::Abandoned | Verdict::Shed | Verdict::Unreachable => return,
+            Verdict::Abandoned | Verdict::Shed | Verdict::Paused | Verdict::Unreachable => return,
         };
         fleet.observe_release(&self.target.route, &self.target.release, failed, slow);
     }
@@ -171,10 +175,12 @@
             observe_load(state, target, response.headers());
             let status = response.status();
             let protocol = state.dependencies.format.protocol();
+            let pauses = observe_pause(state, target, &response);
             let not_run = response.headers().contains_key(&protocol.not_run)
                 || status == StatusCode::MISDIRECTED_REQUEST;
             let verdict = match status {
                 StatusCode::MISDIRECTED_REQUEST => Verdict::Unreachable,
+                _ if pauses => Verdict::Paused,
                 _ if not_run => Verdict::Shed,
                 _ if status.is_server_error() => Verdict::Failed,
                 _ => Verdict::Answered,
@@ -262,6 +268,7 @@
             });
         }
     };
+    observe_leaving(state, target, &response);
     let request_id = job.headers.get(&protocol.request_id);
     let echoed_id = response.headers().get(&protocol.request_id);
     if echoed_id.is_some() && echoed_id != request_id {
@@ -334,6 +341,47 @@
     }
 }
 
+/// Records that the server said in its answer that it is leaving.
+///
+/// Another process answers at the server's address if the answer names it or has status 421.
+fn observe_leaving(state: &State, target: &Target, response: &Response<Incoming>) {
+    let protocol = state.dependencies.format.protocol();
+    let headers = response.headers();
+    let named = headers.get(&protocol.server);
+    let is_other = response.status() == StatusCode::MISDIRECTED_REQUEST
+        || named.is_some_and(|name| name.as_bytes() != target.server.as_str().as_bytes());
+    if !is_other && head::is_leaving(headers, protocol) {
+        state.record_leaving(&target.service, &target.server);
+    }
+}
+
+/// Records the pause that the server asked for; returns whether it asked for one.
+fn observe_pause(state: &State, target: &Target, response: &Response<Incoming>) -> bool {
+    if response.status() != StatusCode::SERVICE_UNAVAILABLE {
+        return false;
+    }
+    let text = response.headers().get(header::RETRY_AFTER);
+    let Some(pause) = text.and_then(|text| pause::parse(text.to_str().ok()?)) else {
+        return false;
+    };
+    let now = state.now();
+    let mut fleets = state.fleets.lock();
+    if let Some(fleet) = fleets.get_mut(&target.service)
+        && let Some(index) = fleet.placement.find(&target.server)
+    {
+        let is_new = !fleet.placement.is_paused(now, index);
+        fleet
+            .placement
+            .pause(index, pause::end(now, pause, random()));
+        drop(fleets);
+        if is_new {
+            info!(state.log(), "servers: server asked for a pause"; "server" => %target.server,
+                "service" => %target.service, "ms" => pause.as_millis() as u64);
+        }
+    }
+    true
+}
+
 /// Records the load that the server reported in the header of its answer, if any.
 fn observe_load(state: &State, target: &Target, headers: &HeaderMap) {
     let value = headers.get(&state.dependencies.format.protocol().load);
--- a/crates/entry/src/request/forward.rs
+++ b/crates/entry/src/request/forward.rs
@@ -273,7 +273,14 @@
             fleet.select(now)
         };
         let Some((choice, preferred)) = self.choose(now, fleet, attempts, selection) else {
-            return Next::Refuse(Reason::NoServer, retry_after(NO_SERVER_RETRY_DELAY));
+            let query = self.query(fleet, attempts, None);
+            return match fleet.placement.pause_end(now, &query) {
+                Some(end) => Next::Refuse(
+                    Reason::Overload,
+                    admission::retry_after_pause(end.since(now), random()),
+                ),
+                None => Next::Refuse(Reason::NoServer, retry_after(NO_SERVER_RETRY_DELAY)),
+            };
         };
         let route = &self.grant.entry.route;
         let estimate = Estimate {
@@ -333,15 +340,8 @@
         let running = fleet.running();
         let spilled_regions = self.spilled_regions(now, fleet, &selection);
         let query = Query {
-            object: self.object,
-            route: self.grant.entry.hash,
-            release: selection.release.as_ref(),
-            allowed_regions: &self.allowed_regions,
             excluded_regions: &spilled_regions,
-            excluded_servers: &attempts.tried,
-            objective: self.grant.entry.route.objective,
-            bytes: fleet.average_bytes(),
-            repeatable: self.job.repeatable,
+            ..self.query(fleet, attempts, selection.release.as_ref())
         };
         let placement = &mut fleet.placement;
         let chosen = placement.choose(now, &query);
@@ -368,6 +368,26 @@
         Some((choice, preferred.index))
     }
 
+    /// Returns what the request requires of a server of version `release`, or of any.
+    fn query<'q>(
+        &'q self,
+        fleet: &Fleet,
+        attempts: &'q Attempts,
+        release: Option<&'q Release>,
+    ) -> Query<'q> {
+        Query {
+            object: self.object,
+            route: self.grant.entry.hash,
+            release,
+            allowed_regions: &self.allowed_regions,
+            excluded_regions: &[],
+            excluded_servers: &attempts.tried,
+            objective: self.grant.entry.route.objective,
+            bytes: fleet.average_bytes(),
+            repeatable: self.job.repeatable,
+        }
+    }
+
     /// Returns this host's region if the request belongs to the share that spills over, else none.
     fn spilled_regions(&self, now: Instant, fleet: &Fleet, selection: &Selection) -> Vec<Region> {
         let route = self.grant.entry.hash;
--- a/crates/entry/src/request/head.rs
+++ b/crates/entry/src/request/head.rs
@@ -53,6 +53,12 @@
     value.trim().parse().ok().map(Duration::from_millis)
 }
 
+/// Returns whether an answer says that the backend server is leaving.
+pub(crate) fn is_leaving(headers: &HeaderMap, protocol: &Protocol) -> bool {
+    let mut values = headers.get_all(&protocol.leaving).iter();
+    values.any(|value| value.as_bytes().trim_ascii() == b"1")
+}
+
 /// Returns the keep-alive time of a connection; `None` if the backend server closes it.
 ///
 /// `default` applies if the server sends no valid time.
--- a/crates/model/src/engine/outcome.rs
+++ b/crates/model/src/engine/outcome.rs
@@ -27,7 +27,7 @@
         own.placement.end(now, &send.choice, verdict, took);
         match verdict {
             Verdict::Answered => self.answer(send.request),
-            Verdict::Shed | Verdict::Unreachable => {
+            Verdict::Shed | Verdict::Paused | Verdict::Unreachable => {
                 it.declined += 1;
                 if it.declined > MAX_DECLINED_SENDS || !own.take_retry(now) {
                     let wait = admission::retry_after(Duration::ZERO, self.random.random());
