fix(entry): idle connections of look-ups and other hosts are bounded

The ports for look-ups, checks and other hosts had no limit, so that idle connections could take the descriptors of callers and servers. Change: each of these ports has a register of its own, for a twentieth of the descriptors; the connection idle for longest closes for a new one. Lines and metrics name the port.

--- a/crates/entry/src/connection/register.rs
+++ b/crates/entry/src/connection/register.rs
@@ -1,4 +1,4 @@
-//! Register of callers' connections, which decides which of them are kept.
+//! Register of the connections of one port, which decides which of them are kept.
 
 use crate::process::state::State;
 use azurenotch_core::process::room::{Decision, Id, Room};
@@ -12,9 +12,11 @@
 /// Share of the limit below which the register reports that there is room again.
 const ROOM_AGAIN_SHARE: f64 = 0.9;
 
-/// Open connections of callers.
+/// Open connections of one port.
 #[derive(Debug)]
 pub struct Register {
+    /// Name of the port in logs and metrics.
+    port: &'static str,
     state: Arc<State>,
     inner: Mutex<Inner>,
 }
@@ -49,18 +51,16 @@
 
 impl Register {
     /// Creates an empty register for `total` connections.
-    pub fn new(state: &Arc<State>, total: usize) -> Arc<Self> {
+    pub fn new(state: &Arc<State>, port: &'static str, total: usize) -> Arc<Self> {
         let room = Room::new(total);
-        state
-            .metrics
-            .connection_limit
-            .set(i64::try_from(room.limit()).unwrap_or(i64::MAX));
+        state.metrics.set_connection_limit(port, room.limit());
         let inner = Inner {
             room,
             closers: Map::default(),
             full: None,
         };
         Arc::new(Self {
+            port,
             state: Arc::clone(state),
             inner: Mutex::new(inner),
         })
@@ -83,7 +83,7 @@
         let inner = &mut *self.inner.lock();
         let decision = inner.room.open(now);
         if !matches!(decision, Decision::Admit(_)) && inner.full.is_none() {
-            warn!(self.state.log(), "callers: connection limit reached";
+            warn!(self.state.log(), "connections: limit reached"; "port" => self.port,
                 "connections" => inner.room.kept(), "limit" => inner.room.limit(),
                 "in-flight" => self.state.metrics.in_flight.get());
             inner.full = Some(Full {
@@ -116,7 +116,7 @@
                 ("closed-unread", None)
             }
         };
-        self.state.metrics.count_connection(label);
+        self.state.metrics.count_connection(self.port, label);
         let (id, admitted) = entered?;
         let closer = stop.child_token();
         inner.closers.insert(id, closer.clone());
@@ -158,7 +158,8 @@
         }
         if let Some(full) = inner.full.take() {
             let state = &self.register.state;
-            info!(state.log(), "callers: below connection limit again";
+            info!(state.log(), "connections: below limit again";
+                "port" => self.register.port,
                 "ms" => state.now().since(full.since).as_millis() as u64,
                 "idle-closed" => full.replaced, "rejected" => full.rejected,
                 "closed-unread" => full.closed);
--- a/crates/entry/src/process/control.rs
+++ b/crates/entry/src/process/control.rs
@@ -1,6 +1,12 @@
 //! HTTP endpoints for look-ups, readiness checks, metrics and requests of other hosts.
 
-use crate::process::{relay, state::State};
+use crate::{
+    connection::{
+        phase::{self, Tracker},
+        register::Register,
+    },
+    process::{relay, state::State},
+};
 use azurenotch_wire::id::{DataCentre, Region};
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, StatusCode, header};
@@ -33,6 +39,9 @@
 /// Pause after a failure to accept a connection.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// Largest share of the descriptors for the connections of one of these ports.
+const DESCRIPTOR_SHARE: f64 = 0.05;
+
 /// Requests that a port serves.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Purpose {
@@ -42,6 +51,16 @@
     Peers,
 }
 
+impl Purpose {
+    /// Returns the name of the port in logs and metrics.
+    const fn name(self) -> &'static str {
+        match self {
+            Self::Control => "control",
+            Self::Peers => "peers",
+        }
+    }
+}
+
 /// Serves a port until `stop` is cancelled.
 pub async fn serve(
     listener: TcpListener,
@@ -50,6 +69,9 @@
     stop: CancellationToken,
 ) {
     let relays = Arc::new(Semaphore::new(MAX_RELAYS));
+    let descriptors = state.setting().machine.descriptors;
+    let total = (f64::from(descriptors) * DESCRIPTOR_SHARE) as usize;
+    let register = Register::new(&state, purpose.name(), total);
     loop {
         let accepted = select! {
             () = stop.cancelled() => return,
@@ -59,19 +81,28 @@
             sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         };
+        // Without a ticket the stream is closed unread.
+        let Some(ticket) = register.open(&stop).await else {
+            continue;
+        };
         let state = Arc::clone(&state);
-        let stop = stop.clone();
         // Other hosts send one request on a connection, and close it when they have the answer.
         let relay = Arc::clone(&relays).try_acquire_owned().ok();
         let relay = relay.filter(|_| purpose == Purpose::Peers);
         tokio::spawn(async move {
             let log = state.log().clone();
+            let (closer, admitted) = (ticket.closer.clone(), ticket.admitted);
+            let tracker = Tracker::new(ticket);
+            let stream = phase::Stream::new(stream, &tracker);
             let service = service_fn(move |request: Request<Incoming>| {
+                let phase = tracker.begin_request();
                 let response = match purpose {
+                    _ if !admitted => status(StatusCode::SERVICE_UNAVAILABLE),
                     Purpose::Control => answer(&state, &request),
                     Purpose::Peers if relay.is_none() => status(StatusCode::SERVICE_UNAVAILABLE),
                     Purpose::Peers => relay::answer(&state, &request),
                 };
+                let response = response.map(|body| phase::Answer::new(body, phase));
                 async move { Ok::<_, Infallible>(response) }
             });
             let mut builder = Builder::new();
@@ -81,7 +112,7 @@
                 .max_buf_size(8 * 1024);
             let connection = builder.serve_connection(TokioIo::new(stream), service);
             select! {
-                () = stop.cancelled() => {}
+                () = closer.cancelled() => {}
                 () = sleep(MAX_RELAY_TIME), if purpose == Purpose::Peers => {}
                 ended = connection => if let Err(error) = ended {
                     debug!(log, "control: connection failed"; "error" => %error);
--- a/crates/entry/src/process/metrics.rs
+++ b/crates/entry/src/process/metrics.rs
@@ -1,7 +1,8 @@
 //! Prometheus metrics of an entry host.
 
 use prometheus::{
-    Error, Gauge, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+    Error, Gauge, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
 };
 use std::time::Duration;
 
@@ -21,8 +22,7 @@
     pub in_flight: IntGauge,
     /// Number of open connections of callers.
     pub connections: IntGauge,
-    /// Number of callers' connections above which idle ones are closed for new ones.
-    pub connection_limit: IntGauge,
+    connection_limit: IntGaugeVec,
     /// Time in seconds by which tasks last ran late.
     pub lag: Gauge,
 }
@@ -45,6 +45,14 @@
             registry.register(Box::new(gauge.clone()))?;
             Ok::<_, Error>(gauge)
         };
+        let connection_limit = IntGaugeVec::new(
+            Opts::new(
+                "azurenotch_entry_connection_limit",
+                "Connections above which idle ones are closed for new ones, by port",
+            ),
+            &["port"],
+        )?;
+        registry.register(Box::new(connection_limit.clone()))?;
         let lag = Gauge::new(
             "azurenotch_entry_lag_seconds",
             "Time by which tasks last ran late",
@@ -69,8 +77,8 @@
             )?,
             accepted: vector(
                 "azurenotch_entry_accepted_connections_total",
-                "Connections of callers by what became of them",
-                &["decision"],
+                "New connections by port and what became of them",
+                &["port", "decision"],
             )?,
             store: vector(
                 "azurenotch_entry_store_calls_total",
@@ -82,10 +90,7 @@
                 "azurenotch_entry_connections",
                 "Open connections of callers",
             )?,
-            connection_limit: gauge(
-                "azurenotch_entry_connection_limit",
-                "Limit of callers' connections",
-            )?,
+            connection_limit,
             lag,
             latency,
             registry,
@@ -109,9 +114,15 @@
         self.attempts.with_label_values(&[service, ending]).inc();
     }
 
-    /// Counts a new connection of a caller.
-    pub fn count_connection(&self, decision: &str) {
-        self.accepted.with_label_values(&[decision]).inc();
+    /// Sets the number of a port's connections above which idle ones are closed for new ones.
+    pub fn set_connection_limit(&self, port: &str, limit: usize) {
+        let limit = i64::try_from(limit).unwrap_or(i64::MAX);
+        self.connection_limit.with_label_values(&[port]).set(limit);
+    }
+
+    /// Counts a new connection of a port.
+    pub fn count_connection(&self, port: &str, decision: &str) {
+        self.accepted.with_label_values(&[port, decision]).inc();
     }
 
     /// Counts a call to the store.
