--- /dev/null
+++ b/crates/core/src/version/placement/absence.rs
@@ -0,0 +1,87 @@
+//! Backend servers that say that they are leaving or that they want no requests for a time.
+
+use super::{Backend, Placement, Query};
+use azurenotch_wire::time::Instant;
+use std::time::Duration;
+
+/// Maximum number of leaving servers that are remembered.
+const MAX_LEAVING: usize = 4096;
+/// Time after which a server without a start time counts as restarted since it said it was leaving.
+const UNKNOWN_PROCESS_LEAVES_FOR: Duration = Duration::from_mins(1);
+
+/// Process of a backend server that said that it is leaving.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Leave {
+    incarnation: u64,
+    pub(super) since: Instant,
+}
+
+impl Leave {
+    /// Returns whether this is the process with an incarnation, which is 0 if unknown.
+    pub(super) fn is(&self, now: Instant, incarnation: u64) -> bool {
+        let restarted = incarnation == 0 && now.since(self.since) >= UNKNOWN_PROCESS_LEAVES_FOR;
+        self.incarnation == incarnation && !restarted
+    }
+}
+
+impl Placement {
+    /// Sets how long a leaving server may get requests that no other server can take.
+    pub fn set_drain(&mut self, drain: Duration) {
+        self.drain = drain;
+    }
+
+    /// Records that a server said that it is leaving; returns whether that is new.
+    pub fn announce_leaving(&mut self, now: Instant, index: usize) -> bool {
+        let entry = &mut self.entries[index];
+        if entry.leaving.is_some() || !entry.is_listed() {
+            return false;
+        }
+        entry.leaving = Some(now);
+        let leave = Leave {
+            incarnation: entry.backend.incarnation,
+            since: now,
+        };
+        self.leaving.insert(entry.backend.server.clone(), leave);
+        if self.leaving.len() > MAX_LEAVING {
+            let mut ages: Vec<Instant> = self.leaving.values().map(|it| it.since).collect();
+            ages.sort_unstable();
+            let oldest_kept = ages[MAX_LEAVING / 2];
+            self.leaving.retain(|_, it| it.since >= oldest_kept);
+        }
+        true
+    }
+
+    /// Records what another host heard of the server whose name has the hash `server`.
+    pub fn receive_leaving(&mut self, now: Instant, server: u32, incarnation: u64) -> bool {
+        let index = self.index_by_hash.get(&server).copied();
+        let index = index.filter(|index| self.backend(*index).incarnation == incarnation);
+        index.is_some_and(|index| self.announce_leaving(now, index))
+    }
+
+    /// Returns the listed servers that said within `max_age` that they are leaving.
+    pub fn leaving(&self, now: Instant, max_age: Duration) -> impl Iterator<Item = &Backend> {
+        let entries = self.entries.iter().filter(move |entry| {
+            let recent = entry.leaving.is_some_and(|at| now.since(at) < max_age);
+            recent && entry.is_listed()
+        });
+        entries.map(|entry| &entry.backend)
+    }
+
+    /// Withholds requests from a server until `until`, as it has asked for.
+    pub fn pause(&mut self, index: usize, until: Instant) {
+        self.entries[index].pause(until);
+    }
+
+    /// Returns whether a server has asked for a pause that has not ended.
+    pub fn is_paused(&self, now: Instant, index: usize) -> bool {
+        self.entries[index].is_paused(now)
+    }
+
+    /// Returns when the first pause ends after which a server can take the request.
+    pub fn pause_end(&self, now: Instant, query: &Query<'_>) -> Option<Instant> {
+        let entries = self.entries.iter();
+        entries
+            .filter_map(|entry| entry.pause_end(now, query))
+            .min()
+    }
+}
--- a/crates/core/src/version/placement/mod.rs
+++ b/crates/core/src/version/placement/mod.rs
@@ -8,6 +8,7 @@
 //! to the next best server, which is the same for all hosts too. The higher the load of all servers,
 //! the higher the cost of an avoidable cache miss.
 
+mod absence;
 mod entry;
 mod estimate;
 
@@ -15,6 +16,7 @@
 pub use entry::Backend;
 pub use estimate::Work;
 
+use absence::Leave;
 use azurenotch_wire::{
     Map,
     hash::hash32,
@@ -60,11 +62,6 @@
 /// to the next when its queues are long.
 const REGION_RANK_COST_SHARE: f64 = 0.1;
 
-/// Maximum number of leaving servers that are remembered.
-const MAX_LEAVING: usize = 4096;
-/// Time after which a server without a start time counts as restarted since it said it was leaving.
-const UNKNOWN_PROCESS_LEAVES_FOR: Duration = Duration::from_mins(1);
-
 /// Requirements of a request on the backend server.
 #[derive(Debug, Clone, Copy)]
 pub struct Query<'a> {
@@ -150,21 +147,6 @@
     drain: Duration,
 }
 
-/// Process of a backend server that said that it is leaving.
-#[derive(Debug, Clone, Copy)]
-struct Leave {
-    incarnation: u64,
-    since: Instant,
-}
-
-impl Leave {
-    /// Returns whether this is the process with an incarnation, which is 0 if unknown.
-    fn is(&self, now: Instant, incarnation: u64) -> bool {
-        let restarted = incarnation == 0 && now.since(self.since) >= UNKNOWN_PROCESS_LEAVES_FOR;
-        self.incarnation == incarnation && !restarted
-    }
-}
-
 impl Placement {
     /// Creates a placement without servers.
     ///
@@ -182,11 +164,6 @@
         }
     }
 
-    /// Sets how long a leaving server may get requests that no other server can take.
-    pub fn set_drain(&mut self, drain: Duration) {
-        self.drain = drain;
-    }
-
     /// Sets the requests per second that all hosts together may send to a cold server.
     pub fn set_cold_per_s(&mut self, cold_per_s: f64) {
         self.cold_per_s = cold_per_s;
@@ -263,61 +240,6 @@
         self.entries[index].set_cold(now, left);
     }
 
-    /// Records that a server said that it is leaving; returns whether that is new.
-    pub fn announce_leaving(&mut self, now: Instant, index: usize) -> bool {
-        let entry = &mut self.entries[index];
-        if entry.leaving.is_some() || !entry.is_listed() {
-            return false;
-        }
-        entry.leaving = Some(now);
-        let leave = Leave {
-            incarnation: entry.backend.incarnation,
-            since: now,
-        };
-        self.leaving.insert(entry.backend.server.clone(), leave);
-        if self.leaving.len() > MAX_LEAVING {
-            let mut ages: Vec<Instant> = self.leaving.values().map(|it| it.since).collect();
-            ages.sort_unstable();
-            let oldest_kept = ages[MAX_LEAVING / 2];
-            self.leaving.retain(|_, it| it.since >= oldest_kept);
-        }
-        true
-    }
-
-    /// Records what another host heard of the server whose name has the hash `server`.
-    pub fn receive_leaving(&mut self, now: Instant, server: u32, incarnation: u64) -> bool {
-        let index = self.index_by_hash.get(&server).copied();
-        let index = index.filter(|index| self.backend(*index).incarnation == incarnation);
-        index.is_some_and(|index| self.announce_leaving(now, index))
-    }
-
-    /// Returns the listed servers that said within `max_age` that they are leaving.
-    pub fn leaving(&self, now: Instant, max_age: Duration) -> impl Iterator<Item = &Backend> {
-        let entries = self.entries.iter().filter(move |entry| {
-            let recent = entry.leaving.is_some_and(|at| now.since(at) < max_age);
-            recent && entry.is_listed()
-        });
-        entries.map(|entry| &entry.backend)
-    }
-
-    /// Withholds requests from a server until `until`, as it has asked for.
-    pub fn pause(&mut self, index: usize, until: Instant) {
-        self.entries[index].pause(until);
-    }
-
-    /// Returns whether a server has asked for a pause that has not ended.
-    pub fn is_paused(&self, now: Instant, index: usize) -> bool {
-        self.entries[index].is_paused(now)
-    }
-
-    /// Returns when the first pause ends after which a server can take the request.
-    pub fn pause_end(&self, now: Instant, query: &Query<'_>) -> Option<Instant> {
-        let entries = self.entries.iter();
-        entries
-            .filter_map(|entry| entry.pause_end(now, query))
-            .min()
-    }
-
     /// Withholds requests from the server until [`Self::confirm_health`] is called.
     pub fn require_health_check(&mut self, index: usize) {
         self.entries[index].awaits_health_check = true;
