feat(cli): explain names connection limits, pauses, restores and lag

Cause: new reasons and lines were unknown to azurenotch explain, and a rejection because all servers pause was called overload. Change: reason 'paused', sentences for it and for 'connection-limit', the new lines count as states or related events.

--- a/crates/cli/src/explain/cause.rs
+++ b/crates/cli/src/explain/cause.rs
@@ -44,6 +44,13 @@
         "no-server" => "No backend server of the service was eligible for the request.".to_owned(),
         "no-configuration" => "The host had not received a configuration yet.".to_owned(),
         "leaving" => "The host was stopping and might have ended before the request completed.".to_owned(),
+        "connection-limit" => format!(
+            "All connections that the host may have had requests; this one was accepted {} ms before.",
+            number("connection-ms"),
+        ),
+        "paused" => {
+            "All backend servers that could take the request had asked for a pause.".to_owned()
+        }
         "no-memory" => "Other requests used up the memory for bodies.".to_owned(),
         "timeout" => format!(
             "The timeout of the route expired after {} ms; the answer was expected in {} ms.",
--- a/crates/cli/src/explain/line.rs
+++ b/crates/cli/src/explain/line.rs
@@ -73,6 +73,10 @@
             "orders: evacuation order received" => {
                 Some(format!("evacuation {}", field("data-centre")))
             }
+            "connections: limit reached" | "connections: below limit again" => {
+                Some(format!("connections {}", field("port")))
+            }
+            "host: tasks run late" | "host: tasks run on time again" => Some("lag".to_owned()),
             "settings: applied" | "settings: rejected" => Some("settings".to_owned()),
             _ => None,
         }
@@ -87,6 +91,8 @@
             "attempt: failed" | "attempt: slower than expected" => names_involved_server,
             "servers: server removed"
             | "servers: server added or updated"
+            | "servers: server is leaving"
+            | "servers: server asked for a pause"
             | "servers: health check passed" => on_involved_host && names_involved_server,
             "hosts: unreachable peer removed"
             | "hosts: peer joined or restarted"
@@ -95,6 +101,7 @@
             | "relay: request to peer failed"
             | "orders: evacuation order received" => on_involved_host,
             "feed: store reads failing"
+            | "feed: store restored from an older copy"
             | "journal: dropped"
             | "entry: stopping"
             | "entry: stopped"
--- a/crates/cli/tests/cli/explain.rs
+++ b/crates/cli/tests/cli/explain.rs
@@ -138,3 +138,29 @@
     assert!(explained(new).contains(&format!("-0.087 s  edge-1  {new}")));
     assert_eq!(explained(old), explained(new));
 }
+
+/// Reason of a rejection, and the sentence that explains it.
+struct Rejection {
+    reason: &'static str,
+    says: &'static str,
+}
+
+#[test_case(Rejection { reason: "connection-limit", says: "All connections that the host may have had requests; this one was accepted 12 ms before." }; "no room for the connection")]
+#[test_case(Rejection { reason: "paused", says: "All backend servers that could take the request had asked for a pause." }; "servers that want no requests")]
+fn rejections_are_explained(case: Rejection) {
+    let log = format!(
+        r#"{{"msg":"connections: limit reached","level":"WARN","ts":"2026-07-26T18:42:50.000000Z","host":"edge-1","port":"callers"}}
+{{"msg":"request: answered","level":"WARN","ts":"2026-07-26T18:42:56.000000Z","host":"edge-1","id":"x","status":503,"reason":"{}","ran":false,"ms":0,"connection-ms":12}}
+"#,
+        case.reason
+    );
+    let (text, error, code) = explain(&["explain", "x"], &log);
+    assert_eq!(code, 0, "{error}");
+    for part in [
+        "connections: limit reached",
+        case.says,
+        "No backend server ran the request.",
+    ] {
+        assert!(text.contains(part), "{part:?} is not in {text}");
+    }
+}
--- a/crates/entry/src/request/forward.rs
+++ b/crates/entry/src/request/forward.rs
@@ -276,7 +276,7 @@
             let query = self.query(fleet, attempts, None);
             return match fleet.placement.pause_end(now, &query) {
                 Some(end) => Next::Refuse(
-                    Reason::Overload,
+                    Reason::Paused,
                     admission::retry_after_pause(end.since(now), random()),
                 ),
                 None => Next::Refuse(Reason::NoServer, retry_after(NO_SERVER_RETRY_DELAY)),
--- a/crates/entry/src/request/reply.rs
+++ b/crates/entry/src/request/reply.rs
@@ -163,6 +163,9 @@
     /// The queues at the backend servers are too long.
     #[display("overload")]
     Overload,
+    /// All backend servers that could take the request have asked for a pause.
+    #[display("paused")]
+    Paused,
     /// No backend server is available for the request.
     #[display("no-server")]
     NoServer,
