fix(entry): states of moves without an order are not read for ever after a restore

Cause: read in the diff: a held state whose order nobody writes again kept the first writer reading all states every 1.8 s. Change: only states of ordered moves count as unverified.

--- a/crates/entry/src/process/replica/hold.rs
+++ b/crates/entry/src/process/replica/hold.rs
@@ -131,9 +131,10 @@
     /// read, and written again where they are missing.
     pub fn has_unverified_outcomes(&self) -> bool {
         let era = self.era();
-        self.rows.iter().any(|(key, fact)| {
-            let is_state = matches!(fact.item, Item::Outcome(_, Some(_)));
-            is_state && (Era::of(fact.version) < era || self.held.contains_key(key))
+        self.outcomes().iter().any(|fact| {
+            let key = key(&fact.item);
+            let held = key.is_some_and(|key| self.held.contains_key(&key));
+            held || Era::of(fact.version) < era
         })
     }
 
