--- a/crates/entry/src/connection/listener.rs
+++ b/crates/entry/src/connection/listener.rs
@@ -55,7 +55,11 @@
 /// Connections are accepted at once even if too many are open: one that waits for room would keep
 /// its request unread.
 pub async fn serve(listener: TcpListener, state: Arc<State>, stop: CancellationToken) {
-    let register = Register::new(&state, "callers", max_connections(&state));
+    let register = Register::new(
+        Arc::<State>::clone(&state),
+        "callers",
+        max_connections(&state),
+    );
     let tasks = TaskTracker::new();
     loop {
         let accepted = select! {
--- a/crates/entry/src/connection/register.rs
+++ b/crates/entry/src/connection/register.rs
@@ -1,23 +1,39 @@
 //! Register of the connections of one port, which decides which of them are kept.
 
-use crate::process::state::State;
 use azurenotch_core::process::room::{Decision, Id, Room};
 use azurenotch_wire::{Map, time::Instant};
 use parking_lot::Mutex;
-use slog::{info, warn};
-use std::sync::Arc;
+use std::{fmt::Debug, sync::Arc, time::Duration};
 use tokio::task::yield_now;
 use tokio_util::sync::CancellationToken;
 
 /// Share of the limit below which the register reports that there is room again.
 const ROOM_AGAIN_SHARE: f64 = 0.9;
 
+/// What a register needs from its process: the time, logs and metrics.
+pub trait Observer: Debug + Send + Sync {
+    /// Returns the current time.
+    fn now(&self) -> Instant;
+
+    /// Records how many connections a port keeps before idle ones give way.
+    fn set_limit(&self, port: &'static str, limit: usize);
+
+    /// Records what became of a new connection.
+    fn count(&self, port: &'static str, decision: &'static str);
+
+    /// Records that a port has `kept` connections, as many as its limit or more.
+    fn limit_reached(&self, port: &'static str, kept: usize, limit: usize);
+
+    /// Records that a port has room again.
+    fn has_room(&self, port: &'static str, crowd: &Crowd);
+}
+
 /// Open connections of one port.
 #[derive(Debug)]
 pub struct Register {
     /// Name of the port in logs and metrics.
     port: &'static str,
-    state: Arc<State>,
+    observer: Arc<dyn Observer>,
     inner: Mutex<Inner>,
 }
 
@@ -26,16 +42,21 @@
     room: Room,
     /// Asks a connection to close as soon as it has no request.
     closers: Map<Id, CancellationToken>,
-    full: Option<Full>,
+    /// Since when the limit has been reached, and what happened since.
+    crowd: Option<(Instant, Crowd)>,
 }
 
-/// What happened to connections since the limit was reached.
-#[derive(Debug)]
-struct Full {
-    since: Instant,
-    replaced: u64,
-    rejected: u64,
-    closed: u64,
+/// What happened to new connections while the limit was reached.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Crowd {
+    /// How long the limit was reached.
+    pub duration: Duration,
+    /// New connections for which an idle one was closed.
+    pub replaced: u64,
+    /// New connections whose first request was rejected.
+    pub rejected: u64,
+    /// New connections that were closed unread.
+    pub closed: u64,
 }
 
 /// Entry of one connection, removed when it is dropped.
@@ -51,17 +72,17 @@
 
 impl Register {
     /// Creates an empty register for `total` connections.
-    pub fn new(state: &Arc<State>, port: &'static str, total: usize) -> Arc<Self> {
+    pub fn new(observer: Arc<dyn Observer>, port: &'static str, total: usize) -> Arc<Self> {
         let room = Room::new(total);
-        state.metrics.set_connection_limit(port, room.limit());
+        observer.set_limit(port, room.limit());
         let inner = Inner {
             room,
             closers: Map::default(),
-            full: None,
+            crowd: None,
         };
         Arc::new(Self {
             port,
-            state: Arc::clone(state),
+            observer,
             inner: Mutex::new(inner),
         })
     }
@@ -79,44 +100,36 @@
     }
 
     fn enter(self: &Arc<Self>, stop: &CancellationToken) -> Option<Ticket> {
-        let now = self.state.now();
+        let now = self.observer.now();
         let inner = &mut *self.inner.lock();
         let decision = inner.room.open(now);
-        if !matches!(decision, Decision::Admit(_)) && inner.full.is_none() {
-            warn!(self.state.log(), "connections: limit reached"; "port" => self.port,
-                "connections" => inner.room.kept(), "limit" => inner.room.limit(),
-                "in-flight" => self.state.metrics.in_flight.get());
-            inner.full = Some(Full {
-                since: now,
-                replaced: 0,
-                rejected: 0,
-                closed: 0,
-            });
+        if !matches!(decision, Decision::Admit(_)) && inner.crowd.is_none() {
+            inner.crowd = Some((now, Crowd::default()));
+            self.observer
+                .limit_reached(self.port, inner.room.kept(), inner.room.limit());
         }
-        let count = |field: fn(&mut Full) -> &mut u64, full: &mut Option<Full>| {
-            if let Some(full) = full {
-                *field(full) += 1;
-            }
-        };
+        let mut uncounted = Crowd::default();
+        let crowd = inner.crowd.as_mut();
+        let crowd = crowd.map_or(&mut uncounted, |(_, crowd)| crowd);
         let (label, entered) = match decision {
             Decision::Admit(id) => ("admitted", Some((id, true))),
             Decision::Replace { new, idle } => {
-                count(|full| &mut full.replaced, &mut inner.full);
+                crowd.replaced += 1;
                 if let Some(closer) = inner.closers.get(&idle) {
                     closer.cancel();
                 }
                 ("replaced-idle", Some((new, true)))
             }
             Decision::Reject(id) => {
-                count(|full| &mut full.rejected, &mut inner.full);
+                crowd.rejected += 1;
                 ("rejected", Some((id, false)))
             }
             Decision::Close => {
-                count(|full| &mut full.closed, &mut inner.full);
+                crowd.closed += 1;
                 ("closed-unread", None)
             }
         };
-        self.state.metrics.count_connection(self.port, label);
+        self.observer.count(self.port, label);
         let (id, admitted) = entered?;
         let closer = stop.child_token();
         inner.closers.insert(id, closer.clone());
@@ -137,7 +150,7 @@
 
     /// Records that the last request has been answered.
     pub fn end(&self) {
-        let now = self.register.state.now();
+        let now = self.register.observer.now();
         self.register.inner.lock().room.end(self.id, now);
     }
 
@@ -156,13 +169,10 @@
         if inner.room.kept() > low {
             return;
         }
-        if let Some(full) = inner.full.take() {
-            let state = &self.register.state;
-            info!(state.log(), "connections: below limit again";
-                "port" => self.register.port,
-                "ms" => state.now().since(full.since).as_millis() as u64,
-                "idle-closed" => full.replaced, "rejected" => full.rejected,
-                "closed-unread" => full.closed);
+        if let Some((since, mut crowd)) = inner.crowd.take() {
+            let Register { port, observer, .. } = &*self.register;
+            crowd.duration = observer.now().since(since);
+            observer.has_room(port, &crowd);
         }
     }
 }
--- a/crates/entry/src/process/control.rs
+++ b/crates/entry/src/process/control.rs
@@ -71,7 +71,7 @@
     let relays = Arc::new(Semaphore::new(MAX_RELAYS));
     let descriptors = state.setting().machine.descriptors;
     let total = (f64::from(descriptors) * DESCRIPTOR_SHARE) as usize;
-    let register = Register::new(&state, purpose.name(), total);
+    let register = Register::new(Arc::<State>::clone(&state), purpose.name(), total);
     loop {
         let accepted = select! {
             () = stop.cancelled() => return,
--- a/crates/entry/src/process/state.rs
+++ b/crates/entry/src/process/state.rs
@@ -1,6 +1,7 @@
 //! State that the requests and the control tasks of one host share.
 
 use crate::{
+    connection::register::{Crowd, Observer},
     model::Peer,
     platform::{Format, Store, Subject},
     process::{change::last_resort_time, metrics::Metrics, replica::Replica},
@@ -23,7 +24,7 @@
     time::Instant,
 };
 use parking_lot::Mutex;
-use slog::{Logger, info};
+use slog::{Logger, info, warn};
 use std::{
     sync::{
         Arc, OnceLock,
@@ -347,6 +348,31 @@
     }
 }
 
+impl Observer for State {
+    fn now(&self) -> Instant {
+        self.dependencies.clock.now()
+    }
+
+    fn set_limit(&self, port: &'static str, limit: usize) {
+        self.metrics.set_connection_limit(port, limit);
+    }
+
+    fn count(&self, port: &'static str, decision: &'static str) {
+        self.metrics.count_connection(port, decision);
+    }
+
+    fn limit_reached(&self, port: &'static str, kept: usize, limit: usize) {
+        warn!(self.log(), "connections: limit reached"; "port" => port, "connections" => kept,
+            "limit" => limit, "in-flight" => self.metrics.in_flight.get());
+    }
+
+    fn has_room(&self, port: &'static str, crowd: &Crowd) {
+        info!(self.log(), "connections: below limit again"; "port" => port,
+            "ms" => crowd.duration.as_millis() as u64, "idle-closed" => crowd.replaced,
+            "rejected" => crowd.rejected, "closed-unread" => crowd.closed);
+    }
+}
+
 fn own_location(setting: &Setting) -> Location {
     Location {
         data_centre: setting.host.data_centre.clone(),
