--- a/crates/entry/src/platform.rs
+++ b/crates/entry/src/platform.rs
@@ -1,6 +1,7 @@
 //! Interface between an entry host and the platform it runs on.
 
 use crate::{
+    era::Era,
     model::{Fact, Outcome, Peer},
     protocol::Protocol,
 };
@@ -93,8 +94,8 @@
     /// Fails with [`Error::Restored`] if `after` belongs to an earlier era of the store.
     async fn follow(&self, subject: Subject, after: u64, wait: Duration) -> Result<Batch>;
 
-    /// Writes this host's row, which other hosts read to find it.
-    async fn announce(&self, peer: &Peer) -> Result<()>;
+    /// Writes this host's row, which other hosts read to find it; returns the era of the write.
+    async fn announce(&self, peer: &Peer) -> Result<Era>;
 
     /// Sends all further calls to another address.
     fn redirect(&self, address: SocketAddr);
--- a/crates/entry/src/process/entry.rs
+++ b/crates/entry/src/process/entry.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     connection::listener,
+    era::Era,
     model::Peer,
     platform::Subject,
     process::{
@@ -185,15 +186,15 @@
 /// Writes this host's row to the store, then reads the rows of the other hosts once.
 async fn join_hosts(state: Arc<State>) {
     let store = &state.dependencies.store;
-    let mut announced = false;
-    loop {
-        if !announced {
+    let mut announced = None;
+    let announced = loop {
+        if announced.is_none() {
             let result = store.announce(&state.own).await;
             let label = if result.is_ok() { "ok" } else { "error" };
             state.metrics.count_store_call("announce", label);
-            announced = result.is_ok();
+            announced = result.ok();
         }
-        if announced {
+        if let Some(announced) = announced {
             match store.read(Subject::Hosts).await {
                 Ok(batch) => {
                     state.metrics.count_store_call("hosts", "ok");
@@ -203,7 +204,7 @@
                     state.record_join(state.now());
                     // The other hosts learn of this one, and answer.
                     state.gossip_wakeup.notify_one();
-                    break;
+                    break announced;
                 }
                 Err(error) => {
                     state.metrics.count_store_call("hosts", "error");
@@ -213,14 +214,13 @@
             }
         }
         sleep(ANNOUNCE_RETRY_DELAY).await;
-    }
-    announce_again(&state).await;
+    };
+    announce_again(&state, announced).await;
 }
 
-/// Writes this host's row again whenever the store may have lost it.
-async fn announce_again(state: &State) {
+/// Writes this host's row, last written in the era `announced`, again when the store has lost it.
+async fn announce_again(state: &State, mut announced: Era) {
     let store = &state.dependencies.store;
-    let mut announced = state.replica.lock().era();
     loop {
         sleep(ERA_CHECK_INTERVAL).await;
         let era = state.replica.lock().era();
@@ -233,7 +233,7 @@
         let label = if result.is_ok() { "ok" } else { "error" };
         state.metrics.count_store_call("announce", label);
         match result {
-            Ok(()) => {
+            Ok(era) => {
                 announced = era;
                 info!(state.log(), "hosts: own row written again"; "era" => era.0);
             }
