docs(entry): the comment on content numbers names what they do not tell

Read in the diff: it said that an older row never counts as newer, which the red case of the search (KNOWN-RED 5) contradicts. Only the comment changes.

--- a/crates/entry/src/model.rs
+++ b/crates/entry/src/model.rs
@@ -203,8 +203,8 @@
     /// Returns the number of the version at which the row got its content.
     ///
     /// A row of the copy has the era in which it was read and a number below those that were lost, so
-    /// that numbers tell across eras which row is older. One written since may count as older for a
-    /// while, but an older one never counts as newer.
+    /// that numbers tell across eras which row is older. They do not for content that was written
+    /// between a restore and a host's first read; `KNOWN-RED.txt` has the case.
     pub fn content_number(&self) -> u64 {
         Era::number(self.origin.unwrap_or(self.version))
     }
