feat(entry): limits that servers name in their answers are logged and counted

Cause: neither logs nor metrics of a host tell whether it has read a server's limit, so that the hypotheses about LIMIT cannot be told apart. No decision uses it yet.

--- a/crates/cli/src/explain/line.rs
+++ b/crates/cli/src/explain/line.rs
@@ -93,6 +93,8 @@
             | "servers: server added or updated"
             | "servers: server is leaving"
             | "servers: server asked for a pause"
+            | "servers: server named a limit"
+            | "servers: limit of server ended"
             | "servers: health check passed" => on_involved_host && names_involved_server,
             "hosts: unreachable peer removed"
             | "hosts: peer joined or restarted"
--- a/crates/core/src/version/mod.rs
+++ b/crates/core/src/version/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod balance;
 pub mod cutover;
+pub mod limit;
 pub mod placement;
 pub mod rollout;
 pub mod slew;
--- a/crates/core/src/version/placement/entry.rs
+++ b/crates/core/src/version/placement/entry.rs
@@ -1,7 +1,10 @@
 //! State of one backend server as observed by a host.
 
 use super::{DEFAULT_HIT_PROBABILITY, Load, Query, Verdict};
-use crate::{process::warmup::Limiter, version::balance::Tier};
+use crate::{
+    process::warmup::Limiter,
+    version::{balance::Tier, limit::Limit},
+};
 use azurenotch_wire::{
     Map, hash,
     id::{DataCentre, Region, Release, Server},
@@ -90,6 +93,8 @@
     pub(super) leaving: Option<Instant>,
     /// End of the pause that the server has asked for.
     paused_until: Instant,
+    /// Limit that this process of the server has named at some time; most name none.
+    pub(super) limit: Option<Box<Limit>>,
     rtt: Duration,
     cold_until: Instant,
     warmup_limiter: Limiter,
@@ -123,6 +128,7 @@
             backoff: None,
             leaving: None,
             paused_until: Instant::ZERO,
+            limit: None,
             rtt: INITIAL_RTT[backend.tier as usize],
             cold_until: now + backend.cold,
             warmup_limiter: Limiter::new(now),
@@ -135,11 +141,11 @@
     pub(super) fn update(&mut self, now: Instant, backend: &Backend) {
         if self.backend.incarnation != backend.incarnation || !self.listed {
             let same_process = self.backend.incarnation == backend.incarnation;
-            let (in_flight, paused_until) = (self.in_flight, self.paused_until);
-            *self = Self::new(now, backend);
-            self.in_flight = in_flight;
+            let former = std::mem::replace(self, Self::new(now, backend));
+            self.in_flight = former.in_flight;
             if same_process {
-                self.paused_until = paused_until;
+                self.paused_until = former.paused_until;
+                self.limit = former.limit;
             }
             return;
         }
--- a/crates/core/src/version/placement/mod.rs
+++ b/crates/core/src/version/placement/mod.rs
@@ -11,6 +11,7 @@
 mod absence;
 mod entry;
 mod estimate;
+mod limited;
 
 pub use crate::version::balance::Tier;
 pub use entry::Backend;
@@ -24,6 +25,7 @@
     time::Instant,
 };
 use entry::Entry;
+use limited::Unlisted;
 use std::time::Duration;
 
 /// Hit probability of an object at its home server in this host's region.
@@ -145,6 +147,10 @@
     leaving: Map<Server, Leave>,
     /// Time for which a leaving server may get requests that no other server can take.
     drain: Duration,
+    /// Limits of processes of servers that are not listed at present.
+    unlisted_limits: Map<Server, Unlisted>,
+    /// Processes, by server, that have named a limit that cannot be read.
+    unreadable_limits: Map<Server, u64>,
 }
 
 impl Placement {
@@ -161,6 +167,8 @@
             cold_per_s,
             leaving: Map::default(),
             drain: Duration::ZERO,
+            unlisted_limits: Map::default(),
+            unreadable_limits: Map::default(),
         }
     }
 
@@ -181,6 +189,7 @@
         }
         let mut entry = Entry::new(now, backend);
         entry.leaving = leaving;
+        entry.limit = self.take_unlisted_limit(backend);
         let reusable = self.entries.iter().position(Entry::is_reusable);
         let index = reusable.unwrap_or(self.entries.len());
         match reusable {
@@ -197,6 +206,7 @@
         if let Some(index) = self.index.remove(server) {
             self.entries[index].remove();
             self.index_by_hash.remove(&hash32(server.as_str()));
+            self.keep_unlisted_limit(index);
         }
     }
 
--- a/crates/entry/src/process/metrics.rs
+++ b/crates/entry/src/process/metrics.rs
@@ -18,6 +18,7 @@
     latency: HistogramVec,
     store: IntCounterVec,
     accepted: IntCounterVec,
+    server_limits: IntCounterVec,
     /// Number of requests that have not ended.
     pub in_flight: IntGauge,
     /// Number of open connections of callers.
@@ -80,6 +81,11 @@
                 "New connections by port and what became of them",
                 &["port", "decision"],
             )?,
+            server_limits: vector(
+                "azurenotch_entry_server_limits_total",
+                "Statements of backend servers about their limit, by service and event",
+                &["service", "event"],
+            )?,
             store: vector(
                 "azurenotch_entry_store_calls_total",
                 "Calls to the platform's store by subject and result",
@@ -125,6 +131,13 @@
         self.accepted.with_label_values(&[port, decision]).inc();
     }
 
+    /// Counts a change of a backend server's limit, or one that cannot be read.
+    pub fn count_server_limit(&self, service: &str, event: &str) {
+        self.server_limits
+            .with_label_values(&[service, event])
+            .inc();
+    }
+
     /// Counts a call to the store.
     pub fn count_store_call(&self, subject: &str, result: &str) {
         self.store.with_label_values(&[subject, result]).inc();
--- a/crates/entry/src/process/mod.rs
+++ b/crates/entry/src/process/mod.rs
@@ -13,4 +13,5 @@
 pub mod probe;
 pub mod relay;
 pub mod replica;
+pub(crate) mod server_limit;
 pub mod state;
--- a/crates/entry/src/process/probe.rs
+++ b/crates/entry/src/process/probe.rs
@@ -1,7 +1,11 @@
 //! Health checks of backend servers that may have become cold unnoticed.
 
-use crate::{connection::pool::Pool, process::state::State, request::head};
-use azurenotch_wire::id::Service;
+use crate::{
+    connection::pool::Pool,
+    process::{server_limit::Process, state::State},
+    request::head,
+};
+use azurenotch_wire::id::{Server, Service};
 use bytes::Bytes;
 use http::{HeaderMap, Request, StatusCode, header};
 use http_body_util::Full;
@@ -37,7 +41,9 @@
 #[derive(Debug)]
 struct Check {
     service: Service,
-    server: azurenotch_wire::id::Server,
+    server: Server,
+    /// Start of the server's process.
+    incarnation: u64,
     path: String,
     pool: Arc<Pool>,
 }
@@ -55,6 +61,7 @@
                 checks.push(Check {
                     service: service.clone(),
                     server: backend.server.clone(),
+                    incarnation: backend.incarnation,
                     path: fleet.health_path.clone(),
                     pool,
                 });
@@ -66,6 +73,7 @@
 
 impl Check {
     async fn run(self, state: Arc<State>) {
+        let sent = state.now();
         let Ok(Some((code, headers))) = timeout(CHECK_TIMEOUT, self.send(&state)).await else {
             return;
         };
@@ -75,6 +83,16 @@
         if same && head::is_leaving(&headers, protocol) {
             state.record_leaving(&self.service, &self.server);
         }
+        // Health checks may lack the header, so that only a limit in them is news.
+        let limit = head::limit(&headers, protocol);
+        if same && limit != Ok(None) {
+            let process = Process {
+                service: &self.service,
+                server: &self.server,
+                incarnation: self.incarnation,
+            };
+            state.record_limit(process, limit, sent);
+        }
         if code != StatusCode::OK || !same {
             return;
         }
--- a/crates/entry/src/protocol.rs
+++ b/crates/entry/src/protocol.rs
@@ -21,6 +21,8 @@
     pub not_run: HeaderName,
     /// Header with the value 1 in all answers of a backend server that is leaving.
     pub leaving: HeaderName,
+    /// Header with the requests per second that a backend server takes from all hosts together.
+    pub limit: HeaderName,
     /// Header with the load of a backend server: running and waiting requests, and slots.
     pub load: HeaderName,
     /// Header with the id of the answering backend server.
--- a/crates/entry/src/request/attempt.rs
+++ b/crates/entry/src/request/attempt.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     connection::pool::{self, Lease, Pool, SendError},
-    process::state::State,
+    process::{server_limit::Process, state::State},
     request::{
         head,
         memory::Reservation,
@@ -65,6 +65,8 @@
     pub(crate) route: Route,
     pub(crate) service: Service,
     pub(crate) server: Server,
+    /// Start of the server's process.
+    pub(crate) incarnation: u64,
     /// Version that the server runs.
     pub(crate) release: Release,
     pub(crate) choice: Choice,
@@ -170,7 +172,7 @@
     };
     let reused = lease.reused;
     attempt.sent = state.now();
-    match exchange(state, job, target, lease).await {
+    match exchange(state, job, target, lease, attempt.sent).await {
         Exchanged::Head(response, lease) => {
             observe_load(state, target, response.headers());
             let status = response.status();
@@ -249,7 +251,13 @@
 }
 
 /// Sends the request on a connection and checks the header of the answer.
-async fn exchange(state: &State, job: &Job, target: &Target, mut lease: Lease) -> Exchanged {
+async fn exchange(
+    state: &State,
+    job: &Job,
+    target: &Target,
+    mut lease: Lease,
+    sent: Instant,
+) -> Exchanged {
     let protocol = state.dependencies.format.protocol();
     let left = job.deadline.since(state.now());
     let mut request = Request::new(Full::new(job.body.clone()));
@@ -272,8 +280,11 @@
     let request_id = job.headers.get(&protocol.request_id);
     let echoed_id = response.headers().get(&protocol.request_id);
     if echoed_id.is_some() && echoed_id != request_id {
+        // Answer to an earlier request, sent at an unknown time.
+        observe_limit(state, target, &response, Instant::ZERO);
         return Exchanged::Mismatched;
     }
+    observe_limit(state, target, &response, sent);
     let success = response.status().is_success();
     if success && !response.headers().contains_key(&protocol.signature) {
         return Exchanged::Broken("unsigned");
@@ -341,20 +352,43 @@
     }
 }
 
+/// Returns whether another process answered at the server's address.
+fn is_from_other(state: &State, target: &Target, response: &Response<Incoming>) -> bool {
+    let protocol = state.dependencies.format.protocol();
+    let named = response.headers().get(&protocol.server);
+    response.status() == StatusCode::MISDIRECTED_REQUEST
+        || named.is_some_and(|name| name.as_bytes() != target.server.as_str().as_bytes())
+}
+
 /// Records that the server said in its answer that it is leaving.
-///
-/// Another process answers at the server's address if the answer names it or has status 421.
 fn observe_leaving(state: &State, target: &Target, response: &Response<Incoming>) {
     let protocol = state.dependencies.format.protocol();
-    let headers = response.headers();
-    let named = headers.get(&protocol.server);
-    let is_other = response.status() == StatusCode::MISDIRECTED_REQUEST
-        || named.is_some_and(|name| name.as_bytes() != target.server.as_str().as_bytes());
-    if !is_other && head::is_leaving(headers, protocol) {
+    if !is_from_other(state, target, response) && head::is_leaving(response.headers(), protocol) {
         state.record_leaving(&target.service, &target.server);
     }
 }
 
+/// Records the limit that the server named in its answer to a request sent at `sent`, or none.
+///
+/// Only a signed answer can end a limit: what is on the way to the server may answer without it.
+fn observe_limit(state: &State, target: &Target, response: &Response<Incoming>, sent: Instant) {
+    if is_from_other(state, target, response) {
+        return;
+    }
+    let protocol = state.dependencies.format.protocol();
+    let headers = response.headers();
+    let limit = head::limit(headers, protocol);
+    if limit == Ok(None) && !headers.contains_key(&protocol.signature) {
+        return;
+    }
+    let process = Process {
+        service: &target.service,
+        server: &target.server,
+        incarnation: target.incarnation,
+    };
+    state.record_limit(process, limit, sent);
+}
+
 /// Records the pause that the server asked for; returns whether it asked for one.
 fn observe_pause(state: &State, target: &Target, response: &Response<Incoming>) -> bool {
     if response.status() != StatusCode::SERVICE_UNAVAILABLE {
--- a/crates/entry/src/request/forward.rs
+++ b/crates/entry/src/request/forward.rs
@@ -58,6 +58,8 @@
     pub(crate) hit_probability: f64,
     /// Age of the load that the server reported last; `None` if it has reported none.
     pub(crate) load_age: Option<Duration>,
+    /// Requests per second that the server takes from all hosts; `None` without a limit.
+    pub(crate) limit: Option<f64>,
 }
 
 /// Outcome of a request.
@@ -297,6 +299,7 @@
             estimate,
             hit_probability: choice.hit_probability,
             load_age: choice.load_age,
+            limit: fleet.placement.limit(now, choice.index),
         });
         if let Decision::Refuse(wait) = admission::decide(&estimate, random()) {
             return Next::Refuse(Reason::Overload, wait);
@@ -313,12 +316,14 @@
             .lock()
             .count(now, preferred_region, &backend.region);
         let (server, release) = (backend.server.clone(), backend.release.clone());
+        let incarnation = backend.incarnation;
         let connections = (fleet.connections as usize / hosts.max(1)).max(1);
         let target = Target {
             route: self.grant.entry.name.clone(),
             release,
             service: self.service.clone(),
             server,
+            incarnation,
             choice,
             pool,
             connections,
--- a/crates/entry/src/request/head.rs
+++ b/crates/entry/src/request/head.rs
@@ -1,7 +1,7 @@
 //! Rewrites headers between callers and backend servers.
 
 use crate::{protocol::Protocol, version::catalog::Grant};
-use azurenotch_core::request::header::remove_hop_by_hop;
+use azurenotch_core::{request::header::remove_hop_by_hop, version::limit};
 use azurenotch_wire::id::Server;
 use http::{HeaderMap, HeaderName, HeaderValue, header};
 use std::time::Duration;
@@ -59,6 +59,16 @@
     values.any(|value| value.as_bytes().trim_ascii() == b"1")
 }
 
+/// Returns the requests per second that the backend server takes; `None` if an answer names none.
+///
+/// # Errors
+///
+/// Fails if the header is not a decimal number.
+pub(crate) fn limit(headers: &HeaderMap, protocol: &Protocol) -> limit::Result<Option<f64>> {
+    let values = headers.get_all(&protocol.limit).iter();
+    limit::parse(values.map(HeaderValue::as_bytes))
+}
+
 /// Returns the keep-alive time of a connection; `None` if the backend server closes it.
 ///
 /// `default` applies if the server sends no valid time.
