fix(core): the senders of a cold server are spread evenly over hosts

Cause: the order of hosts for a server was the FxHash of both names, which gives similar names similar high bits: of 12 hosts one was among the three senders of 180 of 400 servers, where 100 are its share (servers_divide_between_the_hosts, which fails with that order). Change: the order mixes both hashes (the function that placement had, now in wire::hash), and limiter and choice of senders have a module of their own, for other rates of a server than that while it is cold. Hosts of the former build choose other senders, up to six while both run.

--- a/crates/core/src/process/mod.rs
+++ b/crates/core/src/process/mod.rs
@@ -12,6 +12,7 @@
 pub mod quota;
 pub mod retry;
 pub mod room;
+pub mod senders;
 pub mod slot;
 pub mod timeline;
 pub mod warmup;
--- a/crates/core/src/version/placement/entry.rs
+++ b/crates/core/src/version/placement/entry.rs
@@ -2,11 +2,12 @@
 
 use super::{DEFAULT_HIT_PROBABILITY, Load, Query, Verdict};
 use crate::{
-    process::warmup::Limiter,
+    process::{senders::Limiter, warmup},
     version::{balance::Tier, limit::Limit},
 };
 use azurenotch_wire::{
-    Map, hash,
+    Map,
+    hash::{self, mix},
     id::{DataCentre, Region, Release, Server},
     time::Instant,
 };
@@ -131,7 +132,7 @@
             limit: None,
             rtt: INITIAL_RTT[backend.tier as usize],
             cold_until: now + backend.cold,
-            warmup_limiter: Limiter::new(now),
+            warmup_limiter: Limiter::new(now, warmup::BURST),
             may_warm_up: false,
             objects: Map::default(),
             backend: backend.clone(),
@@ -183,9 +184,8 @@
         if now < self.cold_until
             && let Some(warmup_senders) = self.warmup_senders
         {
-            self.may_warm_up = self
-                .warmup_limiter
-                .has_token(now, cold_per_s, warmup_senders);
+            let rate = warmup::rate(cold_per_s, warmup_senders);
+            self.may_warm_up = self.warmup_limiter.has_token(now, rate, warmup::BURST);
         }
     }
 
@@ -395,12 +395,3 @@
         share * (-now.since(at).as_secs_f64() / FAILURE_HALF_LIFE_S).exp2()
     }
 }
-
-/// Returns a number that depends on all bits of a name's hash and of an object.
-fn mix(name: u64, object: u64) -> u64 {
-    // Finalizer of SplitMix64, because FxHash gives similar names the same high bits.
-    let mut x = name ^ object.wrapping_mul(0x9e37_79b9_7f4a_7c15);
-    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    x ^ (x >> 31)
-}
--- a/crates/entry/src/process/state.rs
+++ b/crates/entry/src/process/state.rs
@@ -13,7 +13,7 @@
 };
 use arc_swap::{ArcSwap, ArcSwapOption, Guard};
 use azurenotch_core::{
-    process::{election, presence::Presence, quota::Quota, retry, warmup},
+    process::{election, presence::Presence, quota::Quota, retry, senders::Place, warmup},
     request::body_memory::Account,
     version::slew,
 };
@@ -333,7 +333,8 @@
                 .map(|(index, backend)| {
                     let hosts = hosts_by_region.get(&backend.region).unwrap_or(&all);
                     let server = hash::hash64(backend.server.as_str());
-                    (index, warmup::sender_count(server, &self.own.host, hosts))
+                    let place = Place::new(server, &self.own.host, hosts, warmup::MAX_SENDERS);
+                    (index, place.map(|it| it.senders))
                 })
                 .collect();
             for (index, sender_count) in sender_counts {
--- a/crates/model/src/host.rs
+++ b/crates/model/src/host.rs
@@ -7,6 +7,7 @@
 use azurenotch_core::{
     process::{
         retry::{Budget, Limit},
+        senders::Place,
         warmup,
     },
     request::admission::{self, Decision, Estimate},
@@ -119,9 +120,9 @@
         self.placement.observe_rtt(index, listing.rtt);
         let in_region = region == self.region;
         let hash = listing.server as u64;
-        let senders = warmup::sender_count(hash, &self.name, &self.region_hosts);
-        self.placement
-            .set_warmup_senders(index, senders.filter(|_| in_region));
+        let place = Place::new(hash, &self.name, &self.region_hosts, warmup::MAX_SENDERS);
+        let senders = place.filter(|_| in_region).map(|it| it.senders);
+        self.placement.set_warmup_senders(index, senders);
     }
 
     /// Removes a server from the placement.
