fix(entry): hosts together keep to the limit that a backend server names

Cause: the header was read nowhere, and nothing divided a server's rate between hosts. Change: at most 3 + 1.5 x limit hosts near the server, the same by every host's reckoning, share nine tenths of the limit; all others send it nothing. Statements are ordered by the times between which they were made, bound to the server's process, and told to other hosts in an optional part of a message. A limit is no failure; its objects go to their second choice and return by steps; what only limited servers could take is rejected at once with the time until there is room. Health checks count. Shared with cold servers: senders and limiter. Why it works: the sum over senders is bounded by their number and not by that of the hosts.

--- a/crates/core/src/process/presence.rs
+++ b/crates/core/src/process/presence.rs
@@ -174,6 +174,14 @@
             .map(|(host, _)| host)
     }
 
+    /// Returns the hosts that reported that they serve callers, unreachable ones included.
+    pub fn serving(&self) -> impl Iterator<Item = &Host> {
+        let hosts = self.hosts.iter();
+        hosts
+            .filter(|(_, it)| it.status.serving && !it.status.leaving)
+            .map(|(host, _)| host)
+    }
+
     /// Returns the number of hosts, including this one and unreachable ones.
     pub fn count(&self) -> usize {
         self.hosts.len() + 1
--- a/crates/core/src/version/limit.rs
+++ b/crates/core/src/version/limit.rs
@@ -2,8 +2,10 @@
 //!
 //! Load pattern: a server in need names the requests per second that it takes from all hosts
 //! together, and names others or none as it recovers. Answers overtake each other, and so do the
-//! messages in which hosts tell each other what they heard.
+//! messages in which hosts tell each other what they heard. A few hosts
+//! ([`senders`](crate::process::senders)) share the rate, more of them for a higher limit.
 
+use crate::process::senders::{Limiter, Place};
 use azurenotch_wire::time::Instant;
 use snafu::Snafu;
 use std::{num::ParseFloatError, str::Utf8Error, time::Duration};
@@ -12,6 +14,23 @@
 ///
 /// Servers state a limit in all their answers, so that nobody has sent to the server for as long.
 const MAX_AGE: Duration = Duration::from_secs(10);
+/// Share of a limit that the senders use.
+///
+/// The rest makes up for hosts that join or leave, which not all others hear of at once.
+const USED_SHARE: f64 = 0.9;
+/// Least requests per second that all hosts together send to a server, whatever its limit.
+///
+/// The answers tell whether the limit still holds.
+const MIN_RATE: f64 = 0.25;
+/// Senders of a server whose limit is zero.
+const MIN_SENDERS: f64 = 3.0;
+/// Further senders for each request per second of the limit.
+///
+/// A window of 4 s may have one and a half times the limit and 5 requests. The senders use
+/// [`USED_SHARE`] of the limit, and one request each that they may have saved up before.
+const SENDERS_PER_RATE: f64 = 1.5;
+/// Time for whose share of the rate a sender may save up, if that is more than one request.
+const MAX_BURST_TIME: Duration = Duration::from_millis(500);
 /// Shortest time between two reports of one server's changes.
 const MIN_REPORT_INTERVAL: Duration = Duration::from_secs(1);
 /// Relative difference from which a limit counts as changed in reports.
@@ -96,10 +115,34 @@
     Ended,
 }
 
-/// Limit of one process of a backend server.
+/// Returns the largest number of hosts that may send to a server with this limit.
+pub fn max_senders(limit: f64) -> usize {
+    // Truncation is intended; a larger limit than `usize` has more senders than there are hosts.
+    SENDERS_PER_RATE.mul_add(limit, MIN_SENDERS) as usize
+}
+
+/// Returns the requests per second that all senders together send to a server with this limit.
+fn total_rate(limit: f64) -> f64 {
+    (USED_SHARE * limit).max(MIN_RATE)
+}
+
+/// Limit of one process of a backend server, and this host's part of it.
 #[derive(Debug, Clone)]
 pub struct Limit {
+    /// Statement that holds.
     statement: Statement,
+    /// Last statement that this host heard from the server itself.
+    heard: Option<Statement>,
+    /// When this host first heard that there is no limit any more.
+    heard_end: Option<Instant>,
+    /// When a statement without a limit began to hold.
+    ended: Option<Instant>,
+    /// This host's place among those that share the limit; `None` if it may not send.
+    place: Option<Place>,
+    /// Limiter of this host's part; `None` until it is among the senders for the first time.
+    limiter: Option<Limiter>,
+    /// Whether the limiter permits a request.
+    has_token: bool,
     /// Limit that was reported last, and when.
     reported: (Option<f64>, Instant),
 }
@@ -109,13 +152,107 @@
     pub fn new(statement: Statement) -> Self {
         Self {
             statement,
+            heard: None,
+            heard_end: None,
+            ended: None,
+            place: None,
+            limiter: None,
+            has_token: false,
             reported: (None, Instant::ZERO),
         }
     }
 
-    /// Returns the last statement about the limit.
-    pub fn statement(&self) -> &Statement {
-        &self.statement
+    /// Sets this host's place among those that share the limit; `None` if it may not send.
+    ///
+    /// The first requests of the senders are spread over time by rank. A host that may send again
+    /// has saved nothing.
+    pub fn set_place(&mut self, now: Instant, place: Option<Place>) {
+        let former = std::mem::replace(&mut self.place, place);
+        let Some(Place { rank, senders }) = place.filter(|_| former.is_none()) else {
+            return;
+        };
+        let saved = if self.limiter.is_none() {
+            rank as f64 / senders as f64
+        } else {
+            0.0
+        };
+        self.limiter = Some(Limiter::new(now, saved));
+    }
+
+    /// Returns the requests per second that this host may send, and how many at once.
+    ///
+    /// Returns `None` if it may send none, or any number as there is no limit in force.
+    pub fn part(&self, now: Instant) -> Option<(f64, f64)> {
+        let limit = self.in_force(now)?;
+        let senders = self.place?.senders.max(1) as f64;
+        let rate = total_rate(limit) / senders;
+        let saved = SENDERS_PER_RATE.mul_add(limit, MIN_SENDERS) / senders;
+        let burst = (MAX_BURST_TIME.as_secs_f64() * rate).min(saved).max(1.0);
+        Some((rate, burst))
+    }
+
+    /// Updates whether this host may send a request.
+    pub fn refresh(&mut self, now: Instant) {
+        self.has_token = match (self.part(now), &mut self.limiter) {
+            (Some((rate, burst)), Some(limiter)) => limiter.has_token(now, rate, burst),
+            _ => false,
+        };
+    }
+
+    /// Returns whether this host may send a request, as of the last [`Self::refresh`].
+    pub fn permits(&self, now: Instant) -> bool {
+        self.has_token || self.in_force(now).is_none()
+    }
+
+    /// Counts a request that this host sends.
+    pub fn take(&mut self) {
+        if let Some(limiter) = &mut self.limiter {
+            limiter.take();
+        }
+        self.has_token = false;
+    }
+
+    /// Returns the time until this host, or else another one, may send a request.
+    pub fn wait(&self, now: Instant) -> Duration {
+        let Some(limit) = self.in_force(now) else {
+            return Duration::ZERO;
+        };
+        let own = self.part(now).zip(self.limiter);
+        let wait = own.map_or_else(
+            || Duration::try_from_secs_f64(total_rate(limit).recip()).ok(),
+            |((rate, _), limiter)| limiter.wait(rate),
+        );
+        wait.unwrap_or(Duration::MAX)
+    }
+
+    /// Returns when the last limit ended, or was no longer heard of; `None` while one is in force.
+    pub fn end(&self, now: Instant) -> Option<Instant> {
+        if self.in_force(now).is_some() {
+            return None;
+        }
+        Some(self.ended.unwrap_or(self.statement.received + MAX_AGE))
+    }
+
+    /// Returns what this host heard itself and the other hosts have to know.
+    ///
+    /// A limit is passed on until it is `max_age` old, and that it has ended for the same time.
+    pub fn news(&self, now: Instant, max_age: Duration) -> Option<Statement> {
+        let heard = self.heard?;
+        let since = match heard.limit {
+            Some(_) => heard.received,
+            None => self.heard_end?,
+        };
+        (now.since(since) < max_age).then_some(heard)
+    }
+
+    /// Takes in a statement that this host heard from the server itself.
+    pub fn hear(&mut self, statement: Statement) {
+        self.heard_end = match (statement.limit, self.heard_end) {
+            (Some(_), _) => None,
+            (None, known) => known.or(Some(statement.received)),
+        };
+        self.heard = Some(statement);
+        self.observe(statement);
     }
 
     /// Returns the requests per second that all hosts together may send; `None` without a limit.
@@ -124,10 +261,18 @@
         self.statement.limit.filter(|_| holds)
     }
 
-    /// Takes in a statement.
+    /// Takes in a statement that this or another host heard.
     ///
     /// The later of two statements holds. If it is not known which one is later, the stricter one.
     pub fn observe(&mut self, statement: Statement) {
+        self.replace(statement);
+        self.ended = match (self.statement.limit, self.ended) {
+            (Some(_), _) => None,
+            (None, known) => known.or(Some(statement.received)),
+        };
+    }
+
+    fn replace(&mut self, statement: Statement) {
         let known = self.statement;
         if statement.sent >= known.received {
             self.statement = statement;
--- a/crates/core/src/version/limit/tests.rs
+++ b/crates/core/src/version/limit/tests.rs
@@ -1,4 +1,5 @@
-use super::{Change, Error, Limit, MAX_AGE, Statement, parse};
+use super::{Change, Error, Limit, MAX_AGE, Statement, max_senders, parse};
+use crate::process::senders::Place;
 use azurenotch_wire::time::Instant;
 use std::time::Duration;
 use test_case::test_case;
@@ -95,3 +96,114 @@
     assert!(reports.len() <= 4, "{} reports", reports.len());
     assert_eq!(reports[0], Change::Named(4.0));
 }
+
+/// A limit and the number of hosts with more work than it allows.
+struct Fleet {
+    limit: f64,
+    hosts: usize,
+}
+
+/// Returns the numbers of requests in every window of 4 s in a minute.
+fn windows(fleet: &Fleet, until: Option<Instant>) -> Vec<usize> {
+    let senders = max_senders(fleet.limit).min(fleet.hosts);
+    let mut limits: Vec<Limit> = (0..senders)
+        .map(|rank| {
+            let mut limit = Limit::new(statement(fleet.limit, 0, 0));
+            limit.set_place(Instant::ZERO, Some(Place { rank, senders }));
+            limit
+        })
+        .collect();
+    let mut sent = Vec::new();
+    for ms in (0..60_000).step_by(10) {
+        let now = Instant::from_millis(ms);
+        for limit in &mut limits {
+            // Without work the hosts save up requests.
+            let works = until.is_none_or(|from| now >= from);
+            limit.observe(statement(fleet.limit, ms, ms));
+            limit.refresh(now);
+            while works && limit.permits(now) {
+                limit.take();
+                limit.refresh(now);
+                sent.push(ms);
+            }
+        }
+    }
+    let starts = (0..56_000u64).step_by(100);
+    let in_window = |start| {
+        let window = start..start + 4_000;
+        sent.iter().filter(|at| window.contains(*at)).count()
+    };
+    starts.map(in_window).collect()
+}
+
+#[test_case(Fleet { limit: 0.0, hosts: 12 }; "no requests at all")]
+#[test_case(Fleet { limit: 0.01, hosts: 295 }; "one in a while from many hosts")]
+#[test_case(Fleet { limit: 1.0, hosts: 1 }; "one host")]
+#[test_case(Fleet { limit: 3.7, hosts: 4 }; "one region of few hosts")]
+#[test_case(Fleet { limit: 3.7, hosts: 12 }; "few hosts")]
+#[test_case(Fleet { limit: 3.7, hosts: 84 }; "less than one for each host")]
+#[test_case(Fleet { limit: 4.0, hosts: 295 }; "many hosts")]
+#[test_case(Fleet { limit: 40.0, hosts: 295 }; "a higher limit and many hosts")]
+#[test_case(Fleet { limit: 200.0, hosts: 4 }; "many for each host")]
+#[test_case(Fleet { limit: 5_000.0, hosts: 3_000 }; "many of both")]
+fn hosts_together_keep_to_a_limit_and_use_it(fleet: Fleet) {
+    let per_window = 4.0 * fleet.limit;
+    let allowed = 1.5f64.mul_add(per_window, 5.0);
+    for idle_until in [None, Some(Instant::from_millis(20_000))] {
+        let most = windows(&fleet, idle_until).into_iter().max();
+        let most = most.unwrap_or(0) as f64;
+        assert!(most <= allowed, "{most} requests in 4 s, allowed {allowed}");
+    }
+    let used = windows(&fleet, None).into_iter().skip(100).min();
+    let used = used.unwrap_or(0) as f64;
+    assert!(used >= 0.7 * per_window - 1.0, "{used} requests in 4 s");
+}
+
+/// Guards against a limit of zero that lasts forever because nobody asks the server again.
+#[test]
+fn somebody_asks_a_server_that_takes_nothing() {
+    let fleet = Fleet {
+        limit: 0.0,
+        hosts: 84,
+    };
+    let sent: usize = windows(&fleet, None).into_iter().step_by(40).sum();
+    assert!(sent >= 10, "{sent} requests in a minute");
+}
+
+/// Guards against hosts that have a full part whenever they begin to share a limit.
+#[test]
+fn a_host_that_begins_to_send_has_saved_nothing() {
+    let place = Some(Place {
+        rank: 3,
+        senders: 4,
+    });
+    let mut limit = Limit::new(statement(4.0, 0, 0));
+    for ms in (0..30_000).step_by(500) {
+        let now = Instant::from_millis(ms);
+        limit.observe(statement(4.0, ms, ms));
+        for place in [None, place] {
+            limit.set_place(now, place);
+            limit.refresh(now);
+            assert!(!limit.permits(now), "at {ms} ms with {place:?}");
+        }
+    }
+}
+
+#[test]
+fn a_limit_and_its_end_are_told_for_a_time() {
+    let age = Duration::from_secs(3);
+    let told = |limit: &Limit, ms| limit.news(Instant::from_millis(ms), age).map(|it| it.limit);
+    let mut limit = Limit::new(statement(4.0, 0, 10));
+    assert_eq!(told(&limit, 20), None, "another host heard it");
+    limit.hear(statement(4.0, 20, 30));
+    assert_eq!(told(&limit, 3_029), Some(Some(4.0)));
+    assert_eq!(told(&limit, 3_030), None);
+    limit.hear(statement(None, 4_000, 4_010));
+    limit.hear(statement(None, 6_000, 6_010));
+    assert_eq!(told(&limit, 7_009), Some(None));
+    assert_eq!(
+        told(&limit, 7_010),
+        None,
+        "told since the first answer without a limit"
+    );
+}
--- a/crates/core/src/version/placement/entry.rs
+++ b/crates/core/src/version/placement/entry.rs
@@ -38,7 +38,7 @@
 const FIRST_BACKOFF: Duration = Duration::from_millis(250);
 /// Longest back-off after a server was unreachable.
 const MAX_BACKOFF: Duration = Duration::from_secs(2);
-/// Time over which requests return to a server after a pause that it has asked for.
+/// Time over which requests return to a server after its pause or limit.
 const RETURN_TIME: Duration = Duration::from_secs(1);
 /// Share of the objects whose requests return at once.
 const FIRST_RETURN_SHARE: f64 = 0.2;
@@ -179,7 +179,7 @@
         now < self.cold_until
     }
 
-    /// Updates whether the server may get a request while it is cold.
+    /// Updates whether the server may get a request while it is cold or has named a limit.
     pub(super) fn refresh(&mut self, now: Instant, cold_per_s: f64) {
         if now < self.cold_until
             && let Some(warmup_senders) = self.warmup_senders
@@ -187,9 +187,19 @@
             let rate = warmup::rate(cold_per_s, warmup_senders);
             self.may_warm_up = self.warmup_limiter.has_token(now, rate, warmup::BURST);
         }
+        if let Some(limit) = &mut self.limit {
+            limit.refresh(now);
+        }
     }
 
+    /// Returns whether the server may get the request now.
     pub(super) fn is_usable(&self, now: Instant, query: &Query<'_>) -> bool {
+        let has_room = self.limit.as_ref().is_none_or(|limit| limit.permits(now));
+        has_room && self.is_eligible(now, query)
+    }
+
+    /// Returns whether the server may get the request as far as its limit permits.
+    pub(super) fn is_eligible(&self, now: Instant, query: &Query<'_>) -> bool {
         let may_send = !self.is_cold(now) || (self.warmup_senders.is_some() && self.may_warm_up);
         self.listed
             && !self.awaits_health_check
@@ -208,15 +218,17 @@
         self.paused_until = self.paused_until.max(until);
     }
 
-    /// Returns whether a request may go to the server after its last pause.
+    /// Returns whether a request may go to the server after its last pause or limit.
     ///
     /// Requests return by steps: the share of the objects grows over [`RETURN_TIME`].
     fn has_returned(&self, now: Instant, object: Option<u64>) -> bool {
         if self.is_paused(now) {
             return false;
         }
-        let since = now.since(self.paused_until);
-        if self.paused_until == Instant::ZERO || since >= RETURN_TIME {
+        let limit_end = self.limit.as_ref().and_then(|limit| limit.end(now));
+        let returns = self.paused_until.max(limit_end.unwrap_or(Instant::ZERO));
+        let since = now.since(returns);
+        if returns == Instant::ZERO || since >= RETURN_TIME {
             return true;
         }
         let share = since.as_secs_f64() / RETURN_TIME.as_secs_f64();
@@ -231,7 +243,7 @@
     /// Returns when requests may return to a server that would get some but for its pause.
     pub(super) fn pause_end(&self, now: Instant, query: &Query<'_>) -> Option<Instant> {
         let returned = self.paused_until + RETURN_TIME;
-        let waits = now < returned && self.leaving.is_none() && self.is_usable(returned, query);
+        let waits = now < returned && self.leaving.is_none() && self.is_eligible(returned, query);
         waits.then_some(self.paused_until)
     }
 
@@ -270,6 +282,9 @@
         if self.is_cold(now) {
             self.warmup_limiter.take();
         }
+        if let Some(limit) = &mut self.limit {
+            limit.take();
+        }
         if let Some(object) = object {
             if self.objects.len() >= MAX_OBJECTS {
                 self.objects.retain(|_, at| now.since(*at) < CACHE_TIME);
--- a/crates/core/src/version/placement/tests.rs
+++ b/crates/core/src/version/placement/tests.rs
@@ -1,7 +1,8 @@
 //! Replays of load patterns.
 
 use super::{Backend, Choice, Load, Placement, Query, Tier, Verdict};
-use azurenotch_wire::time::Instant;
+use crate::{process::senders::Place, version::limit::Statement};
+use azurenotch_wire::{hash::hash32, time::Instant};
 use std::time::Duration;
 use test_case::test_case;
 
@@ -353,3 +354,130 @@
     let again = choose(&mut placement, Instant::ZERO, 1);
     assert_eq!(again.expected, choice.expected);
 }
+
+/// Place of the only host that may send to a server.
+const ALONE: Option<Place> = Some(Place {
+    rank: 0,
+    senders: 1,
+});
+
+/// Returns what a server said about its limit in an answer that took no time.
+fn named(limit: impl Into<Option<f64>>, now: Instant) -> Statement {
+    Statement {
+        limit: limit.into(),
+        sent: now,
+        received: now,
+    }
+}
+
+/// Sends a request each 10 ms and returns how many the server with an index got.
+fn sent_to(placement: &mut Placement, index: usize, from: Instant, time: Duration) -> usize {
+    let mut count = 0;
+    for tick in 0..time.as_millis() as u64 / 10 {
+        let now = from + Duration::from_millis(10 * tick);
+        if let Some(choice) = placement.choose(now, &query(tick)) {
+            placement.begin(now, &choice, Some(tick));
+            placement.end(now, &choice, Verdict::Answered, OBJECTIVE / 3);
+            count += usize::from(choice.index == index);
+        }
+    }
+    count
+}
+
+/// Replays a server in need whose limit is a small part of what it usually gets.
+#[test]
+fn a_limited_server_gets_its_limit_and_no_failures() {
+    let mut placement = placement(4, 0);
+    let start = Instant::from_millis(1_000);
+    let limited = index(&placement, 0);
+    placement.hear_limit(start, limited, named(4.0, start));
+    placement.set_limit_place(start, limited, ALONE);
+    let sent = sent_to(&mut placement, limited, start, Duration::from_secs(5));
+    assert!((14..=20).contains(&sent), "{sent} requests in 5 s");
+    assert!(placement.entries[limited].failure(start) <= 0.0);
+}
+
+#[test]
+fn hosts_agree_where_requests_beyond_a_limit_go() {
+    let now = Instant::from_millis(1_000);
+    let (mut one, mut other) = (placement(8, 0), placement(8, 0));
+    for placement in [&mut one, &mut other] {
+        let limited = index(placement, 3);
+        placement.hear_limit(now, limited, named(0.0, now));
+        placement.set_limit_place(now, limited, None);
+    }
+    for object in 0..200 {
+        let first = choose(&mut one, now, object).index;
+        assert_eq!(first, choose(&mut other, now, object).index);
+        assert_ne!(first, index(&one, 3));
+    }
+}
+
+#[test]
+fn requests_return_by_steps_after_a_limit() {
+    let start = Instant::from_millis(1_000);
+    let mut placement = placement(2, 0);
+    let limited = index(&placement, 0);
+    placement.hear_limit(start, limited, named(0.5, start));
+    let end = start + Duration::from_secs(3);
+    placement.hear_limit(end, limited, named(None, end));
+    let shares = [0, 600, 1_000].map(|ms| {
+        let now = end + Duration::from_millis(ms);
+        let choices =
+            (0..200).filter(|object| choose(&mut placement, now, *object).index == limited);
+        choices.count()
+    });
+    assert!(
+        shares[0] > 0 && shares[0] < shares[1] && shares[1] < shares[2],
+        "{shares:?}"
+    );
+}
+
+/// Guards against a limit that outlives its process, and one that is lost with a listing.
+#[test]
+fn a_limit_belongs_to_a_process() {
+    let now = Instant::from_millis(1_000);
+    let mut placement = placement(1, 0);
+    let hash = hash32("s0");
+    assert!(
+        placement
+            .receive_limit(now, hash, 9, named(4.0, now))
+            .is_none()
+    );
+    assert!(
+        placement
+            .receive_limit(now, hash, 1, named(4.0, now))
+            .is_some()
+    );
+    placement.remove(&"s0".into());
+    placement.insert(now, &backend(0, Tier::Local));
+    assert_eq!(placement.limit(now, index(&placement, 0)), Some(4.0));
+    placement.remove(&"s0".into());
+    let restarted = Backend {
+        incarnation: 2,
+        ..backend(0, Tier::Local)
+    };
+    placement.insert(now, &restarted);
+    assert_eq!(placement.limit(now, index(&placement, 0)), None);
+}
+
+/// Guards against requests that wait, or get no hint when to return, while all servers are limited.
+#[test]
+fn requests_that_only_limits_keep_back_have_a_time_to_return() {
+    let now = Instant::from_millis(1_000);
+    let mut placement = placement(2, 0);
+    for number in 0..2 {
+        let limited = index(&placement, number);
+        placement.hear_limit(now, limited, named(2.0, now));
+        placement.set_limit_place(now, limited, ALONE);
+    }
+    assert_eq!(placement.choose(now, &query(1)), None);
+    let wait = placement
+        .limit_wait(now, &query(1))
+        .expect("a limit keeps it back");
+    let later = now + wait + Duration::from_millis(1);
+    assert!(
+        placement.choose(later, &query(1)).is_some(),
+        "after {wait:?}"
+    );
+}
--- a/crates/entry/src/process/gossip.rs
+++ b/crates/entry/src/process/gossip.rs
@@ -146,9 +146,7 @@
     }
 
     async fn send_round(&self, targets: &[(Option<Host>, SocketAddr)]) {
-        let encoded = rmp_serde::to_vec(&self.message())
-            .and_then(|message| Ok([message, rmp_serde::to_vec(&self.tail())?].concat()));
-        let body = match encoded {
+        let body = match self.encode() {
             Ok(body) => body,
             Err(error) => {
                 warn!(self.state.log(), "gossip: cannot encode message"; "error" => %error);
@@ -172,6 +170,17 @@
         }
     }
 
+    /// Encodes the parts of a datagram that are the same for all receivers.
+    fn encode(&self) -> Result<Vec<u8>, rmp_serde::encode::Error> {
+        let mut body = rmp_serde::to_vec(&self.message())?;
+        rmp_serde::encode::write(&mut body, &self.tail())?;
+        let limits = self.state.limit_news(self.state.now());
+        if !limits.reports.is_empty() {
+            rmp_serde::encode::write(&mut body, &limits)?;
+        }
+        Ok(body)
+    }
+
     /// Returns the targets of the next round: all known hosts.
     ///
     /// The seeds are added in the first round and while no host is reachable.
@@ -226,6 +235,7 @@
             }
         }
         self.state.update_warmup_senders(now);
+        self.state.update_limit_senders(now);
         for (service, fleet) in self.state.fleets.lock().iter_mut() {
             fleet.sweep(now);
             for host in &removed {
--- a/crates/entry/src/process/gossip/inbound.rs
+++ b/crates/entry/src/process/gossip/inbound.rs
@@ -5,7 +5,7 @@
     model::Fact,
     platform::Subject,
     process::{
-        message::{self, FreshnessReport, Head, Message, Tail},
+        message::{self, Datagram, FreshnessReport},
         replica::Update,
     },
 };
@@ -50,9 +50,10 @@
                 }
             };
             match message::decode(&buffer[..length]) {
-                Ok((head, message, tail)) => {
-                    let target = (Some(message.peer.host.clone()), message.peer.address);
-                    let received = self.receive_message(from.ip(), head, message, &tail);
+                Ok(datagram) => {
+                    let peer = &datagram.message.peer;
+                    let target = (Some(peer.host.clone()), peer.address);
+                    let received = self.receive_datagram(from.ip(), datagram);
                     if let Some(newer_peer) = received.newer_peer {
                         newer_peers.send_replace(Some(newer_peer));
                     }
@@ -69,7 +70,13 @@
         }
     }
 
-    fn receive_message(&self, from: IpAddr, head: Head, message: Message, tail: &Tail) -> Received {
+    fn receive_datagram(&self, from: IpAddr, datagram: Datagram) -> Received {
+        let Datagram {
+            head,
+            message,
+            tail,
+            limits,
+        } = datagram;
         let state = &self.state;
         let now = state.now();
         let host = message.peer.host.clone();
@@ -114,6 +121,7 @@
         }
         self.receive_loads(now, &message.loads);
         self.receive_leaving(now, &tail.leaving);
+        state.receive_limits(now, &limits.reports);
         self.receive_updates(message.updates);
         self.receive_outcomes(message.outcomes);
         let newer_configuration = tail.configuration > state.configuration_version();
--- a/crates/entry/src/process/message.rs
+++ b/crates/entry/src/process/message.rs
@@ -6,10 +6,23 @@
 };
 use azurenotch_core::{
     process::{echo::Echo, quota::Count},
-    version::cutover::Evidence,
+    version::{cutover::Evidence, limit::Statement, placement::Backend},
 };
-use azurenotch_wire::time::Instant;
-use serde::{Deserialize, Serialize};
+use azurenotch_wire::{hash::hash32, time::Instant};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use std::time::Duration;
+
+/// Longest time that a datagram is expected to be on its way, the times in queues included.
+const MAX_TRANSIT: Duration = Duration::from_millis(250);
+
+/// Parts of a datagram.
+#[derive(Debug)]
+pub(crate) struct Datagram {
+    pub(crate) head: Head,
+    pub(crate) message: Message,
+    pub(crate) tail: Tail,
+    pub(crate) limits: Limits,
+}
 
 /// Start of a datagram, which differs for each receiver.
 #[derive(Debug, Clone, Copy, Serialize, Deserialize)]
@@ -55,6 +68,61 @@
     pub(crate) configuration: u64,
 }
 
+/// What the sender heard about the limits of backend servers; the last part of a datagram.
+///
+/// It is left out if there is nothing, and builds before it ignore it.
+#[derive(Debug, Default, Serialize, Deserialize)]
+pub(crate) struct Limits {
+    pub(crate) reports: Vec<LimitReport>,
+}
+
+/// Statement of a backend server about its limit.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub(crate) struct LimitReport {
+    /// Hash of the server.
+    pub(crate) server: u32,
+    /// Start of the server's process.
+    pub(crate) incarnation: u64,
+    /// Requests per second from all hosts together; `None` if there is no limit any more.
+    pub(crate) limit: Option<f64>,
+    /// Milliseconds since the request was sent.
+    pub(crate) sent_age_ms: u32,
+    /// Milliseconds since the answer arrived.
+    pub(crate) received_age_ms: u32,
+}
+
+impl LimitReport {
+    /// Creates the report of what a server said.
+    pub(crate) fn new(now: Instant, backend: &Backend, statement: Statement) -> Self {
+        let age = |at| u32::try_from(now.since(at).as_millis()).unwrap_or(u32::MAX);
+        Self {
+            server: hash32(backend.server.as_str()),
+            incarnation: backend.incarnation,
+            limit: statement.limit,
+            sent_age_ms: age(statement.sent),
+            received_age_ms: age(statement.received),
+        }
+    }
+
+    /// Returns the statement by this host's clock, between whose times it was certainly made.
+    ///
+    /// Returns `None` if its limit is not a number of requests.
+    pub(crate) fn statement(&self, now: Instant) -> Option<Statement> {
+        if self
+            .limit
+            .is_some_and(|limit| limit.is_nan() || limit < 0.0)
+        {
+            return None;
+        }
+        let age = |ms: u32| Duration::from_millis(ms.into());
+        Some(Statement {
+            limit: self.limit,
+            sent: now - age(self.sent_age_ms) - MAX_TRANSIT,
+            received: now - age(self.received_age_ms),
+        })
+    }
+}
+
 /// How current the sender's rows of one subject are.
 #[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 pub(crate) struct FreshnessReport {
@@ -79,15 +147,23 @@
 ///
 /// # Errors
 ///
-/// Fails if the datagram has neither the format of this build nor that of one without a tail.
-pub(crate) fn decode(bytes: &[u8]) -> Result<(Head, Message, Tail), rmp_serde::decode::Error> {
+/// Fails if the datagram has neither the format of this build nor that of an earlier one.
+pub(crate) fn decode(bytes: &[u8]) -> Result<Datagram, rmp_serde::decode::Error> {
     let mut reader = bytes;
-    let head = rmp_serde::from_read(&mut reader)?;
-    let message = rmp_serde::from_read(&mut reader)?;
-    let tail = if reader.is_empty() {
-        Tail::default()
-    } else {
-        rmp_serde::from_read(&mut reader)?
-    };
-    Ok((head, message, tail))
+    Ok(Datagram {
+        head: rmp_serde::from_read(&mut reader)?,
+        message: rmp_serde::from_read(&mut reader)?,
+        tail: decode_optional(&mut reader)?,
+        limits: decode_optional(&mut reader)?,
+    })
+}
+
+/// Decodes the next part of a datagram, or returns the default if there is none.
+fn decode_optional<T: Default + DeserializeOwned>(
+    reader: &mut &[u8],
+) -> Result<T, rmp_serde::decode::Error> {
+    if reader.is_empty() {
+        return Ok(T::default());
+    }
+    rmp_serde::from_read(reader)
 }
--- a/crates/entry/src/process/metrics.rs
+++ b/crates/entry/src/process/metrics.rs
@@ -1,8 +1,8 @@
 //! Prometheus metrics of an entry host.
 
 use prometheus::{
-    Error, Gauge, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts,
-    Registry, TextEncoder,
+    Error, Gauge, GaugeVec, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec,
+    Opts, Registry, TextEncoder,
 };
 use std::time::Duration;
 
@@ -19,6 +19,9 @@
     store: IntCounterVec,
     accepted: IntCounterVec,
     server_limits: IntCounterVec,
+    limited_sends: IntCounterVec,
+    limited_servers: IntGaugeVec,
+    limit_part: GaugeVec,
     /// Number of requests that have not ended.
     pub in_flight: IntGauge,
     /// Number of open connections of callers.
@@ -54,6 +57,22 @@
             &["port"],
         )?;
         registry.register(Box::new(connection_limit.clone()))?;
+        let limited_servers = IntGaugeVec::new(
+            Opts::new(
+                "azurenotch_entry_limited_servers",
+                "Backend servers that have named a limit, by service",
+            ),
+            &["service"],
+        )?;
+        registry.register(Box::new(limited_servers.clone()))?;
+        let limit_part = GaugeVec::new(
+            Opts::new(
+                "azurenotch_entry_limit_part",
+                "Requests per second that this host may send to limited servers, by service",
+            ),
+            &["service"],
+        )?;
+        registry.register(Box::new(limit_part.clone()))?;
         let lag = Gauge::new(
             "azurenotch_entry_lag_seconds",
             "Time by which tasks last ran late",
@@ -81,6 +100,13 @@
                 "New connections by port and what became of them",
                 &["port", "decision"],
             )?,
+            limited_sends: vector(
+                "azurenotch_entry_limited_sends_total",
+                "Sends to backend servers that have named a limit, by service",
+                &["service"],
+            )?,
+            limited_servers,
+            limit_part,
             server_limits: vector(
                 "azurenotch_entry_server_limits_total",
                 "Statements of backend servers about their limit, by service and event",
@@ -131,6 +157,21 @@
         self.accepted.with_label_values(&[port, decision]).inc();
     }
 
+    /// Sets how many servers of a service have named a limit, and this host's part in requests per
+    /// second.
+    pub fn set_limited_servers(&self, service: &str, servers: usize, part: f64) {
+        let count = i64::try_from(servers).unwrap_or(i64::MAX);
+        self.limited_servers
+            .with_label_values(&[service])
+            .set(count);
+        self.limit_part.with_label_values(&[service]).set(part);
+    }
+
+    /// Counts a send to a backend server that has named a limit.
+    pub fn count_limited_send(&self, service: &str) {
+        self.limited_sends.with_label_values(&[service]).inc();
+    }
+
     /// Counts a change of a backend server's limit, or one that cannot be read.
     pub fn count_server_limit(&self, service: &str, event: &str) {
         self.server_limits
--- a/crates/entry/src/process/probe.rs
+++ b/crates/entry/src/process/probe.rs
@@ -51,13 +51,17 @@
 fn due_checks(state: &State) -> Vec<Check> {
     let now = state.now();
     let mut checks = Vec::new();
-    for (service, fleet) in state.fleets.lock().iter() {
-        for (index, backend) in fleet.placement.backends() {
-            let paused = fleet.placement.is_paused(now, index);
-            if !fleet.placement.awaits_health_check(index) || backend.draining || paused {
-                continue;
-            }
-            if let Some(pool) = fleet.pool(index) {
+    for (service, fleet) in state.fleets.lock().iter_mut() {
+        let awaited = fleet.placement.backends().filter(|(index, backend)| {
+            let paused = fleet.placement.is_paused(now, *index);
+            fleet.placement.awaits_health_check(*index) && !backend.draining && !paused
+        });
+        let awaited: Vec<usize> = awaited.map(|(index, _)| index).collect();
+        for index in awaited {
+            if let Some(pool) = fleet.pool(index)
+                && fleet.placement.take_health_check(now, index)
+            {
+                let backend = fleet.placement.backend(index);
                 checks.push(Check {
                     service: service.clone(),
                     server: backend.server.clone(),
--- a/crates/entry/src/process/server_limit.rs
+++ b/crates/entry/src/process/server_limit.rs
@@ -1,12 +1,26 @@
 //! Limits that backend servers name in their answers: what hosts hear, log and count.
 
-use crate::process::state::State;
-use azurenotch_core::version::limit::{self, Change, Statement};
+use crate::process::{
+    message::{LimitReport, Limits},
+    state::State,
+};
+use azurenotch_core::{
+    process::senders::{Place, candidates},
+    version::limit::{self, Change, Statement, max_senders},
+};
 use azurenotch_wire::{
-    id::{Server, Service},
+    Set,
+    hash::hash64,
+    id::{Host, Region, Server, Service},
     time::Instant,
 };
 use slog::{info, warn};
+use std::time::Duration;
+
+/// Time for which a host tells the others what it heard about a limit.
+const MAX_NEWS_AGE: Duration = Duration::from_secs(3);
+/// Maximum number of limits that one message contains.
+const MAX_REPORTS_PER_ROUND: usize = 40;
 
 /// Process of a backend server.
 #[derive(Debug, Clone, Copy)]
@@ -49,7 +63,7 @@
                     sent,
                     received,
                 };
-                placement.observe_limit(now, index, statement)
+                placement.hear_limit(now, index, statement)
             }
             Err(error) => {
                 if placement.reject_limit(index) {
@@ -63,20 +77,106 @@
         };
         drop(fleets);
         if let Some(change) = change {
-            self.report_limit(service, server.as_str(), change, "answer");
+            self.report_limit(service, server, change, "answer");
+            self.update_limit_senders(now);
+        }
+    }
+
+    /// Takes in what another host heard about limits.
+    pub(super) fn receive_limits(&self, now: Instant, reports: &[LimitReport]) {
+        let mut changes = Vec::new();
+        let mut fleets = self.fleets.lock();
+        for report in reports {
+            let Some(statement) = report.statement(now) else {
+                continue;
+            };
+            for (service, fleet) in fleets.iter_mut() {
+                let (server, incarnation) = (report.server, report.incarnation);
+                let placement = &mut fleet.placement;
+                let change = placement.receive_limit(now, server, incarnation, statement);
+                changes.extend(
+                    change.map(|(server, change)| (service.clone(), server.clone(), change)),
+                );
+            }
+        }
+        drop(fleets);
+        if changes.is_empty() {
+            return;
         }
+        for (service, server, change) in changes {
+            self.report_limit(&service, &server, change, "peer");
+        }
+        self.update_limit_senders(now);
+    }
+
+    /// Returns what this host heard about limits, for the other hosts.
+    pub(super) fn limit_news(&self, now: Instant) -> Limits {
+        let fleets = self.fleets.lock();
+        let news = fleets
+            .values()
+            .flat_map(|fleet| fleet.placement.limit_news(now, MAX_NEWS_AGE));
+        let reports = news.map(|(backend, statement)| LimitReport::new(now, backend, statement));
+        Limits {
+            reports: reports.take(MAX_REPORTS_PER_ROUND).collect(),
+        }
+    }
+
+    /// Recomputes which hosts share the limit of each backend server that has named one.
+    ///
+    /// Unreachable hosts keep their part until they count as gone: they may be cut off and still
+    /// send. A host that is stopping, or does not know the others yet, has none.
+    pub(super) fn update_limit_senders(&self, now: Instant) {
+        let may_send = self.knows_others(now) && !self.is_leaving();
+        let mut hosts = None;
+        for (service, fleet) in self.fleets.lock().iter_mut() {
+            let placement = &mut fleet.placement;
+            if placement.limited(now).next().is_none() {
+                self.metrics.set_limited_servers(service.as_str(), 0, 0.0);
+                continue;
+            }
+            let hosts = hosts.get_or_insert_with(|| self.hosts_by_region());
+            let served: Set<&Region> = placement.backends().map(|(_, it)| &it.region).collect();
+            let served: Vec<&Region> = served.into_iter().collect();
+            let places = placement.limited(now).map(|(index, backend, limit)| {
+                let candidates = candidates(hosts, &backend.region, &served);
+                let id = hash64(backend.server.as_str());
+                let is_candidate = candidates.contains(&self.own.host);
+                let place = Place::new(id, &self.own.host, &candidates, max_senders(limit));
+                (index, place.filter(|_| may_send && is_candidate))
+            });
+            let places: Vec<_> = places.collect();
+            let limited = places.len();
+            for (index, place) in places {
+                placement.set_limit_place(now, index, place);
+            }
+            let part = placement.limit_part(now);
+            self.metrics
+                .set_limited_servers(service.as_str(), limited, part);
+        }
+    }
+
+    /// Returns the hosts that serve callers, this one included, with their regions.
+    fn hosts_by_region(&self) -> Vec<(Region, Host)> {
+        let membership = self.membership.lock();
+        let serving = membership.presence.serving();
+        let known = serving.filter_map(|host| {
+            let peer = membership.peers.get(host)?;
+            Some((peer.region.clone(), host.clone()))
+        });
+        let own = (self.own.region.clone(), self.own.host.clone());
+        known.chain([own]).collect()
     }
 
     /// Logs and counts a change of a server's limit.
-    fn report_limit(&self, service: &Service, server: &str, change: Change, source: &str) {
+    fn report_limit(&self, service: &Service, server: &Server, change: Change, source: &str) {
         let event = match change {
             Change::Named(limit) => {
-                info!(self.log(), "servers: server named a limit"; "server" => server,
+                info!(self.log(), "servers: server named a limit"; "server" => %server,
                     "service" => %service, "per-second" => limit, "source" => source);
                 "named"
             }
             Change::Ended => {
-                info!(self.log(), "servers: limit of server ended"; "server" => server,
+                info!(self.log(), "servers: limit of server ended"; "server" => %server,
                     "service" => %service, "source" => source);
                 "ended"
             }
--- a/crates/entry/src/request/forward.rs
+++ b/crates/entry/src/request/forward.rs
@@ -14,7 +14,7 @@
 use azurenotch_core::{
     request::admission::{self, Decision, Estimate},
     version::{
-        placement::{Choice, Query},
+        placement::{Choice, Placement, Query},
         spill,
     },
 };
@@ -276,13 +276,7 @@
         };
         let Some((choice, preferred)) = self.choose(now, fleet, attempts, selection) else {
             let query = self.query(fleet, attempts, None);
-            return match fleet.placement.pause_end(now, &query) {
-                Some(end) => Next::Refuse(
-                    Reason::Paused,
-                    admission::retry_after_pause(end.since(now), random()),
-                ),
-                None => Next::Refuse(Reason::NoServer, retry_after(NO_SERVER_RETRY_DELAY)),
-            };
+            return refuse_without_server(now, &fleet.placement, &query);
         };
         let route = &self.grant.entry.route;
         let estimate = Estimate {
@@ -308,6 +302,9 @@
             return Next::Refuse(Reason::NoServer, retry_after(NO_SERVER_RETRY_DELAY));
         };
         fleet.placement.begin(now, &choice, self.object);
+        if fleet.placement.limit(now, choice.index).is_some() {
+            self.state.metrics.count_limited_send(self.service.as_str());
+        }
         let backend = fleet.placement.backend(choice.index);
         // Refused requests move no load between regions, so only requests that are sent count.
         let preferred_region = &fleet.placement.backend(preferred).region;
@@ -423,6 +420,20 @@
     }
 }
 
+/// Refuses a request that no server can take now, with the time until the first one can.
+fn refuse_without_server(now: Instant, placement: &Placement, query: &Query<'_>) -> Next {
+    let pause = placement.pause_end(now, query).map(|end| end.since(now));
+    let limit = placement.limit_wait(now, query);
+    match (pause, limit) {
+        (Some(pause), limit) if limit.is_none_or(|limit| pause < limit) => Next::Refuse(
+            Reason::Paused,
+            admission::retry_after_pause(pause, random()),
+        ),
+        (_, Some(limit)) => Next::Refuse(Reason::ServerLimit, retry_after(limit)),
+        _ => Next::Refuse(Reason::NoServer, retry_after(NO_SERVER_RETRY_DELAY)),
+    }
+}
+
 /// Returns the retry delay with random jitter.
 fn retry_after(until_room: Duration) -> Duration {
     admission::retry_after(until_room, random())
--- a/crates/entry/src/request/reply.rs
+++ b/crates/entry/src/request/reply.rs
@@ -166,6 +166,9 @@
     /// All backend servers that could take the request have asked for a pause.
     #[display("paused")]
     Paused,
+    /// All backend servers that could take the request have named a limit, and it is used up.
+    #[display("server-limit")]
+    ServerLimit,
     /// No backend server is available for the request.
     #[display("no-server")]
     NoServer,
