fix(core): requests without a limit do not count for the next one

Cause: a host that had ever heard a limit of a server took a token for each request, also while there was no limit. After minutes without one, the limiter was hundreds of requests in debt: under the next limit no host sent anything, nobody heard the server for 10 s, the limit lapsed, and all hosts sent at once. Change: only requests under a limit count. Reports of limits between hosts are a type of core.

--- a/crates/core/src/version/limit.rs
+++ b/crates/core/src/version/limit.rs
@@ -7,6 +7,7 @@
 
 use crate::process::senders::{Limiter, Place};
 use azurenotch_wire::time::Instant;
+use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 use std::{num::ParseFloatError, str::Utf8Error, time::Duration};
 
@@ -31,6 +32,8 @@
 const SENDERS_PER_RATE: f64 = 1.5;
 /// Time for whose share of the rate a sender may save up, if that is more than one request.
 const MAX_BURST_TIME: Duration = Duration::from_millis(500);
+/// Longest time that a report is expected to be on its way to another host, queues included.
+const MAX_TRANSIT: Duration = Duration::from_millis(250);
 /// Shortest time between two reports of one server's changes.
 const MIN_REPORT_INTERVAL: Duration = Duration::from_secs(1);
 /// Relative difference from which a limit counts as changed in reports.
@@ -106,6 +109,47 @@
     }
 }
 
+/// Statement as one host passes it on to another, with ages instead of times of its own clock.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Report {
+    /// Requests per second from all hosts together; `None` if there is no limit any more.
+    limit: Option<f64>,
+    /// Milliseconds since the request was sent.
+    sent_age_ms: u32,
+    /// Milliseconds since the answer arrived.
+    received_age_ms: u32,
+}
+
+impl Report {
+    /// Creates the report of a statement that this host heard.
+    pub fn new(now: Instant, statement: Statement) -> Self {
+        let age = |at| u32::try_from(now.since(at).as_millis()).unwrap_or(u32::MAX);
+        Self {
+            limit: statement.limit,
+            sent_age_ms: age(statement.sent),
+            received_age_ms: age(statement.received),
+        }
+    }
+
+    /// Returns the statement by the receiver's clock, between whose times it was made.
+    ///
+    /// Returns `None` if its limit is no number of requests.
+    pub fn statement(&self, now: Instant) -> Option<Statement> {
+        if self
+            .limit
+            .is_some_and(|limit| limit.is_nan() || limit < 0.0)
+        {
+            return None;
+        }
+        let age = |ms: u32| Duration::from_millis(ms.into());
+        Some(Statement {
+            limit: self.limit,
+            sent: now - age(self.sent_age_ms) - MAX_TRANSIT,
+            received: now - age(self.received_age_ms),
+        })
+    }
+}
+
 /// Change of the limit of a server, for reports.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Change {
@@ -204,8 +248,11 @@
         self.has_token || self.in_force(now).is_none()
     }
 
-    /// Counts a request that this host sends.
-    pub fn take(&mut self) {
+    /// Counts a request that this host sends, while a limit is in force.
+    pub fn take(&mut self, now: Instant) {
+        if self.in_force(now).is_none() {
+            return;
+        }
         if let Some(limiter) = &mut self.limiter {
             limiter.take();
         }
--- a/crates/core/src/version/limit/tests.rs
+++ b/crates/core/src/version/limit/tests.rs
@@ -122,7 +122,7 @@
             limit.observe(statement(fleet.limit, ms, ms));
             limit.refresh(now);
             while works && limit.permits(now) {
-                limit.take();
+                limit.take(now);
                 limit.refresh(now);
                 sent.push(ms);
             }
@@ -207,3 +207,30 @@
         "told since the first answer without a limit"
     );
 }
+
+/// Guards against a server that gets nothing, because it got many requests between two limits.
+#[test]
+fn requests_without_a_limit_do_not_count_for_the_next_one() {
+    let mut limit = Limit::new(statement(4.0, 0, 0));
+    let place = Place {
+        rank: 0,
+        senders: 1,
+    };
+    limit.set_place(Instant::ZERO, Some(place));
+    limit.observe(statement(None, 100, 100));
+    for ms in 100..10_000 {
+        limit.take(Instant::from_millis(ms));
+    }
+    limit.observe(statement(4.0, 10_000, 10_000));
+    let sent = (10_000..12_000).filter(|ms| {
+        let now = Instant::from_millis(*ms);
+        limit.refresh(now);
+        let permitted = limit.permits(now);
+        if permitted {
+            limit.take(now);
+        }
+        permitted
+    });
+    let sent = sent.count();
+    assert!((7..=9).contains(&sent), "{sent} requests in 2 s");
+}
--- a/crates/core/src/version/placement/entry.rs
+++ b/crates/core/src/version/placement/entry.rs
@@ -283,7 +283,7 @@
             self.warmup_limiter.take();
         }
         if let Some(limit) = &mut self.limit {
-            limit.take();
+            limit.take(now);
         }
         if let Some(object) = object {
             if self.objects.len() >= MAX_OBJECTS {
--- a/crates/core/src/version/placement/limited.rs
+++ b/crates/core/src/version/placement/limited.rs
@@ -112,7 +112,7 @@
         limit.refresh(now);
         let permitted = limit.permits(now);
         if permitted {
-            limit.take();
+            limit.take(now);
         }
         permitted
     }
--- a/crates/entry/src/process/message.rs
+++ b/crates/entry/src/process/message.rs
@@ -6,14 +6,10 @@
 };
 use azurenotch_core::{
     process::{echo::Echo, quota::Count},
-    version::{cutover::Evidence, limit::Statement, placement::Backend},
+    version::{cutover::Evidence, limit},
 };
-use azurenotch_wire::{hash::hash32, time::Instant};
+use azurenotch_wire::time::Instant;
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
-use std::time::Duration;
-
-/// Longest time that a datagram is expected to be on its way, the times in queues included.
-const MAX_TRANSIT: Duration = Duration::from_millis(250);
 
 /// Parts of a datagram.
 #[derive(Debug)]
@@ -76,51 +72,14 @@
     pub(crate) reports: Vec<LimitReport>,
 }
 
-/// Statement of a backend server about its limit.
+/// What the sender heard about the limit of a backend server.
 #[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 pub(crate) struct LimitReport {
     /// Hash of the server.
     pub(crate) server: u32,
     /// Start of the server's process.
     pub(crate) incarnation: u64,
-    /// Requests per second from all hosts together; `None` if there is no limit any more.
-    pub(crate) limit: Option<f64>,
-    /// Milliseconds since the request was sent.
-    pub(crate) sent_age_ms: u32,
-    /// Milliseconds since the answer arrived.
-    pub(crate) received_age_ms: u32,
-}
-
-impl LimitReport {
-    /// Creates the report of what a server said.
-    pub(crate) fn new(now: Instant, backend: &Backend, statement: Statement) -> Self {
-        let age = |at| u32::try_from(now.since(at).as_millis()).unwrap_or(u32::MAX);
-        Self {
-            server: hash32(backend.server.as_str()),
-            incarnation: backend.incarnation,
-            limit: statement.limit,
-            sent_age_ms: age(statement.sent),
-            received_age_ms: age(statement.received),
-        }
-    }
-
-    /// Returns the statement by this host's clock, between whose times it was certainly made.
-    ///
-    /// Returns `None` if its limit is not a number of requests.
-    pub(crate) fn statement(&self, now: Instant) -> Option<Statement> {
-        if self
-            .limit
-            .is_some_and(|limit| limit.is_nan() || limit < 0.0)
-        {
-            return None;
-        }
-        let age = |ms: u32| Duration::from_millis(ms.into());
-        Some(Statement {
-            limit: self.limit,
-            sent: now - age(self.sent_age_ms) - MAX_TRANSIT,
-            received: now - age(self.received_age_ms),
-        })
-    }
+    pub(crate) report: limit::Report,
 }
 
 /// How current the sender's rows of one subject are.
--- a/crates/entry/src/process/server_limit.rs
+++ b/crates/entry/src/process/server_limit.rs
@@ -6,11 +6,11 @@
 };
 use azurenotch_core::{
     process::senders::{Place, candidates},
-    version::limit::{self, Change, Statement, max_senders},
+    version::limit::{self, Change, Report, Statement, max_senders},
 };
 use azurenotch_wire::{
     Set,
-    hash::hash64,
+    hash::{hash32, hash64},
     id::{Host, Region, Server, Service},
     time::Instant,
 };
@@ -87,11 +87,15 @@
         let mut changes = Vec::new();
         let mut fleets = self.fleets.lock();
         for report in reports {
+            let LimitReport {
+                server,
+                incarnation,
+                report,
+            } = *report;
             let Some(statement) = report.statement(now) else {
                 continue;
             };
             for (service, fleet) in fleets.iter_mut() {
-                let (server, incarnation) = (report.server, report.incarnation);
                 let placement = &mut fleet.placement;
                 let change = placement.receive_limit(now, server, incarnation, statement);
                 changes.extend(
@@ -115,7 +119,11 @@
         let news = fleets
             .values()
             .flat_map(|fleet| fleet.placement.limit_news(now, MAX_NEWS_AGE));
-        let reports = news.map(|(backend, statement)| LimitReport::new(now, backend, statement));
+        let reports = news.map(|(backend, statement)| LimitReport {
+            server: hash32(backend.server.as_str()),
+            incarnation: backend.incarnation,
+            report: Report::new(now, statement),
+        });
         Limits {
             reports: reports.take(MAX_REPORTS_PER_ROUND).collect(),
         }
