--- a/crates/core/src/version/limit.rs
+++ b/crates/core/src/version/limit.rs
@@ -30,10 +30,12 @@
 /// A window of 4 s may have one and a half times the limit and 5 requests. The senders use
 /// [`USED_SHARE`] of the limit, and one request each that they may have saved up before.
 const SENDERS_PER_RATE: f64 = 1.5;
-/// Time for whose share of the rate a sender may save up, if that is more than one request.
-const MAX_BURST_TIME: Duration = Duration::from_millis(500);
-/// Longest time that a report is expected to be on its way to another host, queues included.
-const MAX_TRANSIT: Duration = Duration::from_millis(250);
+/// Time for whose requests a sender may save up, beyond one request.
+const SAVED_TIME: Duration = Duration::from_millis(500);
+/// Age of a message from which its reports are ignored.
+///
+/// A host that was paused reads messages that have waited for it.
+const MAX_MESSAGE_AGE: Duration = Duration::from_secs(3);
 /// Shortest time between two reports of one server's changes.
 const MIN_REPORT_INTERVAL: Duration = Duration::from_secs(1);
 /// Relative difference from which a limit counts as changed in reports.
@@ -133,18 +135,18 @@
 
     /// Returns the statement by the receiver's clock, between whose times it was made.
     ///
-    /// Returns `None` if its limit is no number of requests.
-    pub fn statement(&self, now: Instant) -> Option<Statement> {
-        if self
-            .limit
-            .is_some_and(|limit| limit.is_nan() || limit < 0.0)
-        {
+    /// `echoed` is when the receiver sent the message that the message with the report answers.
+    /// Returns `None` if that may be too old, or if the limit is no number of requests.
+    pub fn statement(&self, now: Instant, echoed: Instant) -> Option<Statement> {
+        let is_number = self.limit.is_none_or(|limit| limit >= 0.0);
+        if !is_number || now.since(echoed) > MAX_MESSAGE_AGE {
             return None;
         }
         let age = |ms: u32| Duration::from_millis(ms.into());
         Some(Statement {
             limit: self.limit,
-            sent: now - age(self.sent_age_ms) - MAX_TRANSIT,
+            // Ages are in whole milliseconds.
+            sent: echoed - age(self.sent_age_ms) - Duration::from_millis(1),
             received: now - age(self.received_age_ms),
         })
     }
@@ -231,7 +233,11 @@
         let senders = self.place?.senders.max(1) as f64;
         let rate = total_rate(limit) / senders;
         let saved = SENDERS_PER_RATE.mul_add(limit, MIN_SENDERS) / senders;
-        let burst = (MAX_BURST_TIME.as_secs_f64() * rate).min(saved).max(1.0);
+        let burst = SAVED_TIME
+            .as_secs_f64()
+            .mul_add(rate, 1.0)
+            .min(saved)
+            .max(1.0);
         Some((rate, burst))
     }
 
--- a/crates/entry/src/process/gossip/inbound.rs
+++ b/crates/entry/src/process/gossip/inbound.rs
@@ -104,10 +104,10 @@
             info!(state.log(), "hosts: peer joined or restarted"; "peer" => %host,
                 "incarnation" => incarnation);
         }
-        if let Some(sent) = head
+        let echoed = head
             .echo
-            .and_then(|echo| echo.sent_at(now, state.own.incarnation))
-        {
+            .and_then(|echo| echo.sent_at(now, state.own.incarnation));
+        if let Some(sent) = echoed {
             membership.presence.on_confirmation(&host, sent);
         }
         let address = message.peer.address;
@@ -121,7 +121,9 @@
         }
         self.receive_loads(now, &message.loads);
         self.receive_leaving(now, &tail.leaving);
-        state.receive_limits(now, &limits.reports);
+        if let Some(echoed) = echoed {
+            state.receive_limits(now, echoed, &limits.reports);
+        }
         self.receive_updates(message.updates);
         self.receive_outcomes(message.outcomes);
         let newer_configuration = tail.configuration > state.configuration_version();
--- a/crates/entry/src/process/server_limit.rs
+++ b/crates/entry/src/process/server_limit.rs
@@ -83,7 +83,9 @@
     }
 
     /// Takes in what another host heard about limits.
-    pub(super) fn receive_limits(&self, now: Instant, reports: &[LimitReport]) {
+    ///
+    /// `echoed` is when this host sent the message that the other one had received last.
+    pub(super) fn receive_limits(&self, now: Instant, echoed: Instant, reports: &[LimitReport]) {
         let mut changes = Vec::new();
         let mut fleets = self.fleets.lock();
         for report in reports {
@@ -92,7 +94,7 @@
                 incarnation,
                 report,
             } = *report;
-            let Some(statement) = report.statement(now) else {
+            let Some(statement) = report.statement(now, echoed) else {
                 continue;
             };
             for (service, fleet) in fleets.iter_mut() {
