--- a/crates/core/tests/server_limit/record.rs
+++ b/crates/core/tests/server_limit/record.rs
@@ -3,7 +3,7 @@
 use azurenotch_wire::Map;
 use std::fmt;
 
-/// Time from the first answer with a limit from which the bound holds; also the length of a window.
+/// Length of a window. The first one begins when the server names a limit.
 pub(crate) const CONTACT_MS: u64 = 4_000;
 /// Time from an answer with a limit from which the host that passed it on has to know.
 const TOLD_MS: u64 = 500;
@@ -114,16 +114,15 @@
         let Some((named, _)) = first else {
             return verdict;
         };
-        let binds = named + CONTACT_MS;
         let counted: Vec<u64> = self
             .arrivals
             .iter()
-            .filter(|it| it.at >= binds && self.counts(it))
+            .filter(|it| self.counts(it))
             .map(|it| it.at)
             .collect();
         let mut worst: Option<Breach> = None;
         let last = self.end.saturating_sub(CONTACT_MS);
-        for at in (binds..last).step_by(WINDOW_STEP_MS as usize) {
+        for at in (*named..last).step_by(WINDOW_STEP_MS as usize) {
             let end = at + CONTACT_MS;
             let from = counted.partition_point(|it| *it < at);
             let requests = counted.partition_point(|it| *it < end) - from;
