--- a/crates/model/src/engine.rs
+++ b/crates/model/src/engine.rs
@@ -154,6 +154,9 @@
             self.now = at;
             self.handle(event, end);
         }
+        for server in &self.servers {
+            self.report.limits.add(server.arrivals.usage());
+        }
         self.report
     }
 
@@ -171,7 +174,11 @@
                 send,
                 verdict,
                 load,
-            } => self.receive_outcome(send, verdict, load),
+                limit,
+            } => {
+                self.hear_limit(send, verdict, limit);
+                self.receive_outcome(send, verdict, load);
+            }
             Event::Expire { send } => self.expire(send),
             Event::Gossip { host } => self.gossip(host),
             Event::List => self.update_listings(),
@@ -317,6 +324,7 @@
             deadline: it.attempt_deadline,
         };
         let own = &mut self.servers[server];
+        own.arrivals.count(now, send.host);
         let (at, verdict) = match own.availability {
             Availability::Refusing => (now + one_way_delay, Verdict::Unreachable),
             Availability::Silent => (send.at + CONNECT_TIMEOUT, Verdict::Unreachable),
@@ -336,10 +344,12 @@
             },
         };
         let load = (verdict == Verdict::Shed).then(|| self.servers[server].load());
+        let limit = load.and_then(|_| self.servers[server].arrivals.limit());
         let ended = Event::SendEnded {
             send,
             verdict,
             load,
+            limit,
         };
         self.queue.push(at, ended);
     }
@@ -360,6 +370,7 @@
             self.queue.push(now + took, event);
         }
         let load = Some(self.servers[server].load());
+        let limit = self.servers[server].arrivals.limit();
         let at = now + self.one_way_delay(send.host, server);
         let verdict = Verdict::Answered;
         self.queue.push(
@@ -368,6 +379,7 @@
                 send,
                 verdict,
                 load,
+                limit,
             },
         );
     }
@@ -387,10 +399,14 @@
             self.hosts[host].name.clone(),
             self.hosts[host].region.clone(),
         );
+        let limits = self.hosts[host].limit_news(now);
         for (index, other) in self.hosts.iter_mut().enumerate() {
             if index == host {
                 continue;
             }
+            for news in &limits {
+                other.receive_limit(now, news);
+            }
             if other.region == region {
                 other.spill.receive_rate(now, &name, rate);
             }
--- a/crates/model/src/engine/disturbance.rs
+++ b/crates/model/src/engine/disturbance.rs
@@ -64,6 +64,16 @@
                     .collect();
                 self.stop(&lost, Availability::Silent);
             }
+            Disturbance::Limit(share, part) => {
+                for server in self.pick_servers(share) {
+                    self.servers[server].arrivals.set_limit(self.now, part);
+                }
+            }
+            Disturbance::EndLimits => {
+                for server in &mut self.servers {
+                    server.arrivals.end_limit(self.now);
+                }
+            }
             Disturbance::Restart => {
                 for server in &mut self.servers {
                     if server.availability != Availability::Up {
@@ -87,6 +97,7 @@
                     send,
                     verdict: Verdict::Failed,
                     load: None,
+                    limit: None,
                 };
                 self.queue.push(at, ended);
             }
--- a/crates/model/src/engine/outcome.rs
+++ b/crates/model/src/engine/outcome.rs
@@ -4,7 +4,10 @@
 use crate::{event::Send, report::Outcome};
 use azurenotch_core::{
     request::admission,
-    version::placement::{Load, Verdict},
+    version::{
+        limit::Statement,
+        placement::{Load, Verdict},
+    },
 };
 use azurenotch_wire::time::Instant;
 use rand::Rng;
@@ -47,6 +50,22 @@
         }
     }
 
+    /// Takes in the limit that a server named in an answer, or that it named none.
+    pub(super) fn hear_limit(&mut self, send: Send, verdict: Verdict, limit: Option<f64>) {
+        if limit.is_some() {
+            let server = self.hosts[send.host].server(&send.choice);
+            self.servers[server].arrivals.tell(self.now, send.host);
+        }
+        if self.variant.limits && (verdict == Verdict::Answered || limit.is_some()) {
+            let statement = Statement {
+                limit,
+                sent: send.at,
+                received: self.now,
+            };
+            self.hosts[send.host].hear_limit(self.now, send.choice.index, statement);
+        }
+    }
+
     /// Abandons a send that has timed out; the request ends without another attempt.
     pub(super) fn expire(&mut self, send: Send) {
         let it = &mut self.requests[send.request];
--- a/crates/model/src/event.rs
+++ b/crates/model/src/event.rs
@@ -57,6 +57,8 @@
         verdict: Verdict,
         /// Load that the server reported with its answer or refusal; `None` if it sent neither.
         load: Option<Load>,
+        /// Limit that the server named in its answer; `None` if it named none.
+        limit: Option<f64>,
     },
     /// A host abandons a send because the timeout of the attempt has expired.
     Expire {
--- a/crates/model/src/host.rs
+++ b/crates/model/src/host.rs
@@ -12,16 +12,20 @@
     },
     request::admission::{self, Decision, Estimate},
     version::{
+        limit::{Statement, max_senders},
         placement::{Backend, Choice, Load, Placement, Query, Tier},
         spill::{self, Spill},
     },
 };
 use azurenotch_wire::{
+    hash::{hash32, hash64},
     id::{Host as Name, Region, Server},
     time::Instant,
 };
 use std::time::Duration;
 
+/// Time for which a host tells the others what it heard about a limit.
+const MAX_NEWS_AGE: Duration = Duration::from_secs(3);
 /// Hash of the only route.
 const ROUTE_HASH: u32 = 1;
 /// Admission rank of all requests.
@@ -202,6 +206,42 @@
         self.budget.take_retry(now, self.hosts)
     }
 
+    /// Takes in what a server said about its limit in an answer to this host.
+    pub fn hear_limit(&mut self, now: Instant, index: usize, statement: Statement) {
+        self.placement.hear_limit(now, index, statement);
+        self.update_place(now, index);
+    }
+
+    /// Returns what this host heard about limits, for the other hosts.
+    pub fn limit_news(&self, now: Instant) -> Vec<(Server, u64, Statement)> {
+        let news = self.placement.limit_news(now, MAX_NEWS_AGE);
+        news.map(|(backend, statement)| (backend.server.clone(), backend.incarnation, statement))
+            .collect()
+    }
+
+    /// Takes in what another host heard about the limit of a server.
+    pub fn receive_limit(&mut self, now: Instant, news: &(Server, u64, Statement)) {
+        let (server, incarnation, statement) = news;
+        let hash = hash32(server.as_str());
+        self.placement
+            .receive_limit(now, hash, *incarnation, *statement);
+        if let Some(index) = self.placement.find(server) {
+            self.update_place(now, index);
+        }
+    }
+
+    fn update_place(&mut self, now: Instant, index: usize) {
+        let Some(limit) = self.placement.limit(now, index) else {
+            return;
+        };
+        let backend = self.placement.backend(index);
+        let in_region = backend.region == self.region;
+        let id = hash64(backend.server.as_str());
+        let place = Place::new(id, &self.name, &self.region_hosts, max_senders(limit));
+        self.placement
+            .set_limit_place(now, index, place.filter(|_| in_region));
+    }
+
     /// Returns the recent server loads that the host reports to other hosts.
     pub fn reported_loads(&self, now: Instant) -> Vec<(Server, Load)> {
         let reported_loads = self.placement.reported_loads(now, MAX_LOAD_AGE);
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -4,6 +4,7 @@
 //! [`host::Host`] decides with the code of `azurenotch-core`, as a [`variant::Variant`] selects.
 //! Real time has no influence, so equal seeds give equal runs.
 
+pub mod arrival;
 pub mod engine;
 pub mod event;
 pub mod host;
--- a/crates/model/src/pattern.rs
+++ b/crates/model/src/pattern.rs
@@ -25,6 +25,10 @@
     LoseCentre,
     /// Restarts all backend servers that are down, with cold caches.
     Restart,
+    /// Makes this share of the backend servers name this part of what they usually get as their limit.
+    Limit(f64, f64),
+    /// Ends all limits.
+    EndLimits,
 }
 
 /// Pattern of load and disturbances.
@@ -61,7 +65,7 @@
 }
 
 /// All patterns.
-pub const PATTERNS: [Pattern; 13] = [
+pub const PATTERNS: [Pattern; 17] = [
     pattern("calm", "usual load with warm caches", &[]),
     Pattern {
         counted_from_s: 0.0,
@@ -155,4 +159,40 @@
             (14.0, Disturbance::Restart),
         ],
     ),
+    pattern(
+        "limited",
+        "a quarter of the servers names a fifth of its usual rate as its limit",
+        &[
+            (12.0, Disturbance::Limit(0.25, 0.2)),
+            (22.0, Disturbance::EndLimits),
+        ],
+    ),
+    pattern(
+        "limited-most",
+        "two fifths of the servers name a twentieth of their usual rate as their limit",
+        &[
+            (12.0, Disturbance::Limit(0.4, 0.05)),
+            (22.0, Disturbance::EndLimits),
+        ],
+    ),
+    pattern(
+        "limited-burst",
+        "a tenth of the servers names half of its usual rate as its limit, then twice the usual load",
+        &[
+            (12.0, Disturbance::Limit(0.1, 0.5)),
+            (14.0, Disturbance::Rate(2.0)),
+            (18.0, Disturbance::Rate(1.0)),
+            (22.0, Disturbance::EndLimits),
+        ],
+    ),
+    pattern(
+        "limited-crash",
+        "a quarter of the servers names a fifth of its usual rate, and a tenth of all crashes",
+        &[
+            (12.0, Disturbance::Limit(0.25, 0.2)),
+            (13.0, Disturbance::Crash(0.1)),
+            (18.0, Disturbance::Restart),
+            (22.0, Disturbance::EndLimits),
+        ],
+    ),
 ];
--- a/crates/model/src/report.rs
+++ b/crates/model/src/report.rs
@@ -1,5 +1,6 @@
 //! Outcomes of requests as callers see them.
 
+use crate::arrival::Usage;
 use hdrhistogram::Histogram;
 use std::fmt::{self, Display, Formatter};
 
@@ -52,6 +53,8 @@
     pub sends: u64,
     /// Latency of answers in milliseconds.
     pub latency: Histogram<u64>,
+    /// What servers that named a limit got.
+    pub limits: Usage,
     /// Requests by the second in which they began.
     pub seconds: Vec<Second>,
     counted_from_s: f64,
@@ -69,6 +72,7 @@
             failed: 0,
             sends: 0,
             latency: latency.expect("the bounds are valid"),
+            limits: Usage::default(),
             seconds: Vec::new(),
             counted_from_s,
         }
@@ -112,6 +116,7 @@
         self.failed += other.failed;
         self.sends += other.sends;
         self.latency += &other.latency;
+        self.limits.add(&other.limits);
         if self.seconds.len() < other.seconds.len() {
             self.seconds.resize(other.seconds.len(), Second::default());
         }
@@ -152,7 +157,7 @@
         let quantile = |it: f64| self.latency.value_at_quantile(it);
         write!(
             f,
-            "{:>7.3} {:>7.3} {:>7.1} {:>6.1} {:>8.1} {:>7.1} {:>7.2} {:>7} {:>7} {:>7}",
+            "{:>7.3} {:>7.3} {:>7.1} {:>6.1} {:>8.1} {:>7.1} {:>7.2} {:>7} {:>7} {:>7} {:>7.2} {:>7.2}",
             self.served(),
             self.worst(),
             share(self.in_time),
@@ -163,10 +168,14 @@
             quantile(0.5),
             quantile(0.9),
             quantile(0.99),
+            self.limits.worst,
+            self.limits.sent / self.limits.taken.max(1.0),
         )
     }
 }
 
 /// Header of the columns that [`Report`] prints.
-pub const HEADER: &str =
-    " served   worst in-time%  late% refused% failed%   sends  p50 ms  p90 ms  p99 ms";
+///
+/// `bound` is the largest share of the requests in 4 s that a named limit allows, `used` the share of
+/// the limits that was used.
+pub const HEADER: &str = " served   worst in-time%  late% refused% failed%   sends  p50 ms  p90 ms  p99 ms   bound    used";
--- a/crates/model/src/server.rs
+++ b/crates/model/src/server.rs
@@ -1,6 +1,6 @@
 //! Simulated backend servers with slots, a queue and a cache of objects.
 
-use crate::{event::Send, site::Site};
+use crate::{arrival::Arrivals, event::Send, site::Site};
 use azurenotch_core::version::placement::Load;
 use azurenotch_wire::time::Instant;
 use std::{collections::VecDeque, time::Duration};
@@ -51,6 +51,8 @@
     pub epoch: u32,
     /// Factor of all processing times.
     pub slowness: f64,
+    /// Sends that have arrived since the counted start of the run, with the limits.
+    pub arrivals: Arrivals,
     site: Site,
     cold_until: Instant,
     running: Vec<(Instant, Send)>,
@@ -67,6 +69,7 @@
             availability: Availability::Up,
             epoch: 0,
             slowness: 1.0,
+            arrivals: Arrivals::default(),
             site: *site,
             cold_until: Instant::ZERO,
             running: Vec::new(),
--- a/crates/model/src/variant.rs
+++ b/crates/model/src/variant.rs
@@ -19,6 +19,8 @@
     pub spill: bool,
     /// Whether hosts report the loads of servers to one another.
     pub gossip: bool,
+    /// Whether hosts keep to the limits that servers name.
+    pub limits: bool,
     /// Whether the server is chosen with full knowledge of the queues and caches of all servers.
     pub knowing: bool,
 }
@@ -41,11 +43,12 @@
     refusal: Refusal::Wait,
     spill: true,
     gossip: true,
+    limits: true,
     knowing: false,
 };
 
 /// All variants; the first one has the decisions of the daemon.
-pub const VARIANTS: [Variant; 7] = [
+pub const VARIANTS: [Variant; 8] = [
     PRESENT,
     Variant {
         name: "no-affinity",
@@ -77,6 +80,12 @@
         gossip: false,
         ..PRESENT
     },
+    Variant {
+        name: "no-limits",
+        description: "hosts do not know of the limits that servers name",
+        limits: false,
+        ..PRESENT
+    },
     Variant {
         name: "knowing",
         description: "full knowledge of queues and caches at the moment of the choice",
--- a/crates/model/tests/pattern.rs
+++ b/crates/model/tests/pattern.rs
@@ -101,3 +101,18 @@
         "{present}\n{knowing}"
     );
 }
+
+/// Guards against servers that get more than the limit that they name, and limits left unused.
+#[test_case("wide", "limited")]
+#[test_case("wide", "limited-most")]
+#[test_case("narrow", "limited-burst")]
+#[test_case("single", "limited-crash")]
+#[test_case("plain", "limited-most")]
+fn named_limits_are_kept_and_used(name: &str, load: &str) {
+    let (site, pattern) = (site(name), pattern(load));
+    let before = run_seeds(site, pattern, variant("no-limits")).limits;
+    assert!(before.worst > 1.0, "nothing to guard against: {before:?}");
+    let present = run_seeds(site, pattern, variant("present")).limits;
+    assert!(present.worst <= 1.0, "{present:?}");
+    assert!(present.sent >= 0.4 * present.taken, "{present:?}");
+}
