perf(entry): answers without a limit take no lock until a server has named one

Cause: each answer took the lock of the fleets once more to record that it names no limit. Change: a flag that the first limit sets.

--- a/crates/entry/src/process/server_limit.rs
+++ b/crates/entry/src/process/server_limit.rs
@@ -15,7 +15,7 @@
     time::Instant,
 };
 use slog::{info, warn};
-use std::time::Duration;
+use std::{sync::atomic::Ordering, time::Duration};
 
 /// Time for which a host tells the others what it heard about a limit.
 const MAX_NEWS_AGE: Duration = Duration::from_secs(3);
@@ -44,6 +44,11 @@
             server,
             incarnation,
         } = process;
+        match limit {
+            Ok(None) if !self.has_limits.load(Ordering::Relaxed) => return,
+            Ok(None) => {}
+            _ => self.has_limits.store(true, Ordering::Relaxed),
+        }
         let now = self.now();
         let mut fleets = self.fleets.lock();
         let Some(fleet) = fleets.get_mut(service) else {
@@ -86,6 +91,10 @@
     ///
     /// `echoed` is when this host sent the message that the other one had received last.
     pub(super) fn receive_limits(&self, now: Instant, echoed: Instant, reports: &[LimitReport]) {
+        if reports.is_empty() {
+            return;
+        }
+        self.has_limits.store(true, Ordering::Relaxed);
         let mut changes = Vec::new();
         let mut fleets = self.fleets.lock();
         for report in reports {
--- a/crates/entry/src/process/state.rs
+++ b/crates/entry/src/process/state.rs
@@ -28,7 +28,7 @@
 use std::{
     sync::{
         Arc, OnceLock,
-        atomic::{AtomicU8, Ordering},
+        atomic::{AtomicBool, AtomicU8, Ordering},
     },
     time::Duration,
 };
@@ -114,6 +114,8 @@
     joined: OnceLock<Instant>,
     /// One bit per subject, set while the last call to the store about it failed.
     failed_subjects: AtomicU8,
+    /// Whether a backend server has ever named a limit, so that answers without one matter.
+    pub(super) has_limits: AtomicBool,
     /// Memory that buffered bodies use.
     pub memory: Arc<Mutex<Account>>,
     pub(super) location: ArcSwap<Location>,
@@ -152,6 +154,7 @@
             stop: OnceLock::new(),
             joined: OnceLock::new(),
             failed_subjects: AtomicU8::new(0),
+            has_limits: AtomicBool::new(false),
             setting: ArcSwap::from_pointee(setting),
         })
     }
