--- a/crates/core/src/version/limit.rs
+++ b/crates/core/src/version/limit.rs
@@ -13,7 +13,7 @@
 
 /// Age from which a statement no longer holds.
 ///
-/// Servers state a limit in all their answers, so that nobody has sent to the server for as long.
+/// Servers state their limit in every answer, so nobody has sent to the server for that long.
 const MAX_AGE: Duration = Duration::from_secs(10);
 /// Share of a limit that the senders use.
 ///
@@ -172,6 +172,15 @@
     (USED_SHARE * limit).max(MIN_RATE)
 }
 
+/// Part of a limit that one host may use.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Part {
+    /// Requests per second.
+    pub rate: f64,
+    /// Requests that the host may save up while it has none to send.
+    pub burst: f64,
+}
+
 /// Limit of one process of a backend server, and this host's part of it.
 #[derive(Debug, Clone)]
 pub struct Limit {
@@ -225,10 +234,10 @@
         self.limiter = Some(Limiter::new(now, saved));
     }
 
-    /// Returns the requests per second that this host may send, and how many at once.
+    /// Returns what this host may send under the limit in force.
     ///
-    /// Returns `None` if it may send none, or any number as there is no limit in force.
-    pub fn part(&self, now: Instant) -> Option<(f64, f64)> {
+    /// Returns `None` if it may send nothing, or as much as it likes since no limit is in force.
+    pub fn part(&self, now: Instant) -> Option<Part> {
         let limit = self.in_force(now)?;
         let senders = self.place?.senders.max(1) as f64;
         let rate = total_rate(limit) / senders;
@@ -238,13 +247,13 @@
             .mul_add(rate, 1.0)
             .min(saved)
             .max(1.0);
-        Some((rate, burst))
+        Some(Part { rate, burst })
     }
 
     /// Updates whether this host may send a request.
     pub fn refresh(&mut self, now: Instant) {
         self.has_token = match (self.part(now), &mut self.limiter) {
-            (Some((rate, burst)), Some(limiter)) => limiter.has_token(now, rate, burst),
+            (Some(part), Some(limiter)) => limiter.has_token(now, part.rate, part.burst),
             _ => false,
         };
     }
@@ -273,7 +282,7 @@
         let own = self.part(now).zip(self.limiter);
         let wait = own.map_or_else(
             || Duration::try_from_secs_f64(total_rate(limit).recip()).ok(),
-            |((rate, _), limiter)| limiter.wait(rate),
+            |(part, limiter)| limiter.wait(part.rate),
         );
         wait.unwrap_or(Duration::MAX)
     }
--- a/crates/core/src/version/placement/limited.rs
+++ b/crates/core/src/version/placement/limited.rs
@@ -99,7 +99,7 @@
     pub fn limit_part(&self, now: Instant) -> f64 {
         let entries = self.entries.iter().filter(|entry| entry.is_listed());
         let parts = entries.filter_map(|entry| entry.limit.as_ref()?.part(now));
-        parts.map(|(rate, _)| rate).sum()
+        parts.map(|part| part.rate).sum()
     }
 
     /// Returns whether a health check of the server is within this host's part of its limit.
