--- a/crates/cli/src/explain/cause.rs
+++ b/crates/cli/src/explain/cause.rs
@@ -51,7 +51,7 @@
         "paused" => {
             "All backend servers that could take the request had asked for a pause.".to_owned()
         }
-        "server-limit" => {
+        "limited" => {
             "All backend servers that could take the request had named a limit that was used up.".to_owned()
         }
         "no-memory" => "Other requests used up the memory for bodies.".to_owned(),
--- a/crates/core/tests/server_limit/fleet.rs
+++ b/crates/core/tests/server_limit/fleet.rs
@@ -1,23 +1,17 @@
 //! Hosts with the decisions of the daemon and a server that names limits, in virtual time.
 
-use crate::record::{Arrival, CONTACT_MS, Excuse, Record, Verdict};
+use crate::{
+    node::{Flaw, Node, SERVER, backend},
+    record::{Arrival, CONTACT_MS, Excuse, Record, Verdict},
+};
 use azurenotch_core::{
-    process::{
-        echo::Echo,
-        presence::{Presence, Status},
-        senders::{Place, candidates},
-    },
+    process::{echo::Echo, presence::Status},
     version::{
-        limit::{Report, Statement, max_senders},
-        placement::{Backend, Placement, Query, Tier, Verdict as Ending},
+        limit::{Report, Statement},
+        placement::{Query, Verdict as Ending},
     },
 };
-use azurenotch_wire::{
-    Map,
-    hash::{hash32, hash64},
-    id::{Host, Region},
-    time::Instant,
-};
+use azurenotch_wire::{hash::hash32, time::Instant};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use std::{cmp::Reverse, collections::BinaryHeap, time::Duration};
 
@@ -25,10 +19,6 @@
 const END_MS: u64 = 30_000;
 /// Time before which no limit is named and nothing fails.
 const CALM_MS: u64 = 2_000;
-/// Time after its start at which a host knows the others.
-const JOIN_MS: u64 = 1_150;
-/// Time for which a host has the whole limit with [`Flaw::FullStart`].
-const FULL_START_MS: u64 = 3_000;
 /// Share of messages between hosts that are lost, doubled, or late by up to [`LATE_MS`].
 const LOST_SHARE: f64 = 0.03;
 const DOUBLED_SHARE: f64 = 0.03;
@@ -37,22 +27,9 @@
 /// Share of answers that are held on their way, by up to [`HELD_MS`].
 const HELD_SHARE: f64 = 0.1;
 const HELD_MS: u64 = 3_000;
-const SERVER: &str = "s0";
 /// Age up to which hosts pass on what they heard.
 const MAX_NEWS_AGE: Duration = Duration::from_secs(3);
 
-/// Fault that is put into the hosts on purpose.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Flaw {
-    None,
-    /// Every answer counts as the latest statement.
-    Unordered,
-    /// A host has the whole limit for its first 3 s, and has saved up all it may.
-    FullStart,
-    /// The part of each host is at least one request per second.
-    RoundedUp,
-}
-
 /// What happens at some time.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
@@ -88,22 +65,6 @@
     echo: Option<Echo>,
 }
 
-struct Node {
-    name: Host,
-    presence: Presence,
-    placement: Placement,
-    /// Number of its process, from 1.
-    run: u64,
-    started: u64,
-    next_round: u64,
-    /// Time until which it does not run.
-    paused_until: u64,
-    /// Group of hosts that it reaches, until a time.
-    cut: (u64, u64),
-    /// Echoes of the last messages of other hosts.
-    echoes: Map<usize, Echo>,
-}
-
 pub(crate) struct Fleet {
     random: SmallRng,
     flaw: Flaw,
@@ -118,79 +79,6 @@
     now: u64,
 }
 
-fn backend(process: u64) -> Backend {
-    Backend {
-        server: SERVER.into(),
-        incarnation: process,
-        release: "v1".into(),
-        data_centre: "a-1".into(),
-        region: "a".into(),
-        tier: Tier::Local,
-        slots: 100,
-        draining: false,
-        cold: Duration::ZERO,
-    }
-}
-
-impl Node {
-    fn new(number: usize, run: u64, started: u64, process: u64) -> Self {
-        let mut placement = Placement::new(10.0, Duration::from_millis(500));
-        placement.insert(Instant::ZERO, &backend(process));
-        Self {
-            name: format!("host-{number}").into(),
-            presence: Presence::default(),
-            placement,
-            run,
-            started,
-            next_round: started,
-            paused_until: 0,
-            cut: (0, 0),
-            echoes: Map::default(),
-        }
-    }
-
-    fn clock(&self, at: u64) -> Instant {
-        Instant::from_millis(at - self.started)
-    }
-
-    fn is_paused(&self, at: u64) -> bool {
-        at < self.paused_until || at < self.started
-    }
-
-    fn group(&self, at: u64) -> u64 {
-        if at < self.cut.1 { self.cut.0 } else { 0 }
-    }
-
-    fn update_place(&mut self, at: u64, flaw: Flaw) {
-        let now = self.clock(at);
-        let Some(limit) = self.placement.limit(now, 0) else {
-            return;
-        };
-        let region = Region::from("a");
-        let known = self.presence.serving().cloned().chain([self.name.clone()]);
-        let known: Vec<(Region, Host)> = known.map(|host| (region.clone(), host)).collect();
-        let hosts = candidates(&known, &region, &[&region]);
-        let place = Place::new(hash64(SERVER), &self.name, &hosts, max_senders(limit));
-        let mut place = place.filter(|_| at >= self.started + JOIN_MS);
-        if flaw == Flaw::FullStart && at < self.started + FULL_START_MS {
-            place = Some(Place {
-                rank: 0,
-                senders: 1,
-            });
-        }
-        if let Some(place) = &mut place
-            && flaw == Flaw::RoundedUp
-        {
-            place.senders = place.senders.min(limit as usize).max(1);
-        }
-        let since = match flaw {
-            Flaw::FullStart => Instant::ZERO,
-            _ => now,
-        };
-        self.placement.set_limit_place(since, 0, place);
-    }
-}
-
 impl Fleet {
     pub(crate) fn new(seed: u64, hosts: usize, demand: f64, faults: bool, flaw: Flaw) -> Self {
         let mut fleet = Self {
--- a/crates/core/tests/server_limit/main.rs
+++ b/crates/core/tests/server_limit/main.rs
@@ -4,9 +4,11 @@
 //! what hosts count.
 
 mod fleet;
+mod node;
 mod record;
 
-use fleet::{Flaw, Fleet};
+use fleet::Fleet;
+use node::Flaw;
 use record::Verdict;
 use test_case::test_case;
 
--- a/crates/entry/src/request/forward.rs
+++ b/crates/entry/src/request/forward.rs
@@ -429,7 +429,7 @@
             Reason::Paused,
             admission::retry_after_pause(pause, random()),
         ),
-        (_, Some(limit)) => Next::Refuse(Reason::ServerLimit, retry_after(limit)),
+        (_, Some(limit)) => Next::Refuse(Reason::Limited, retry_after(limit)),
         _ => Next::Refuse(Reason::NoServer, retry_after(NO_SERVER_RETRY_DELAY)),
     }
 }
--- a/crates/entry/src/request/handler.rs
+++ b/crates/entry/src/request/handler.rs
@@ -262,7 +262,7 @@
             "rank" => estimate.map(|estimate| estimate.rank),
             "warm" => candidate.map(|candidate| candidate.hit_probability),
             "load-age-ms" => candidate.and_then(|candidate| candidate.load_age).map(ms),
-            "server-limit" => candidate.and_then(|candidate| candidate.limit),
+            "limit-per-s" => candidate.and_then(|candidate| candidate.limit),
         );
         // The journal limits warnings separately, so successful requests cannot push out failures.
         if status >= 500 || status == StatusCode::TOO_MANY_REQUESTS {
--- a/crates/entry/src/request/reply.rs
+++ b/crates/entry/src/request/reply.rs
@@ -167,8 +167,8 @@
     #[display("paused")]
     Paused,
     /// All backend servers that could take the request have named a limit, and it is used up.
-    #[display("server-limit")]
-    ServerLimit,
+    #[display("limited")]
+    Limited,
     /// No backend server is available for the request.
     #[display("no-server")]
     NoServer,
