--- a/crates/model/src/arrival.rs
+++ b/crates/model/src/arrival.rs
@@ -37,7 +37,7 @@
     told: bool,
 }
 
-/// Arrivals of the last [`WINDOW`], with the server's limit.
+/// Arrivals of the last 4 s, with the server's limit.
 #[derive(Debug, Clone, Default)]
 pub struct Arrivals {
     recent: VecDeque<Arrival>,
