refactor(core): one reader of decimal numbers in headers, and of what senders may save up

Cause: limits read their decimal numbers with a copy of what pauses read theirs with, the requests that senders may save up stood in two places, and so did the rule for when a limit ended. Change: request::decimal serves both headers; max_saved and end_of serve limits; conversions of errors that only the copy needed are gone. Behaviour is the same.

--- a/crates/core/src/request/mod.rs
+++ b/crates/core/src/request/mod.rs
@@ -4,6 +4,7 @@
 pub mod admission;
 pub mod body_memory;
 pub mod deadline;
+pub mod decimal;
 pub mod header;
 pub mod once;
 pub mod path;
--- a/crates/core/src/request/pause.rs
+++ b/crates/core/src/request/pause.rs
@@ -3,6 +3,7 @@
 //! Load pattern: servers in overload decline requests and say for how long they want none. Hosts
 //! that heard it at the same time must not all return at the same instant.
 
+use crate::request::decimal;
 use azurenotch_wire::time::Instant;
 use std::time::Duration;
 
@@ -17,13 +18,7 @@
 ///
 /// Returns `None` for anything else, dates included.
 pub fn parse(text: &str) -> Option<Duration> {
-    let (whole, fraction) = text.split_once('.').unwrap_or((text, "0"));
-    let is_number =
-        |digits: &str| !digits.is_empty() && digits.bytes().all(|it| it.is_ascii_digit());
-    if !is_number(whole) || !is_number(fraction) {
-        return None;
-    }
-    let seconds: f64 = text.parse().ok()?;
+    let seconds = decimal::parse(text)?;
     let pause = Duration::try_from_secs_f64(seconds).unwrap_or(MAX_PAUSE);
     Some(pause.min(MAX_PAUSE))
 }
--- a/crates/core/src/version/limit.rs
+++ b/crates/core/src/version/limit.rs
@@ -5,11 +5,14 @@
 //! messages in which hosts tell each other what they heard. A few hosts
 //! ([`senders`](crate::process::senders)) share the rate, more of them for a higher limit.
 
-use crate::process::senders::{Limiter, Place};
+use crate::{
+    process::senders::{Limiter, Place},
+    request::decimal,
+};
 use azurenotch_wire::time::Instant;
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
-use std::{num::ParseFloatError, str::Utf8Error, time::Duration};
+use std::time::Duration;
 
 /// Age from which a statement no longer holds.
 ///
@@ -28,7 +31,7 @@
 /// Further senders for each request per second of the limit.
 ///
 /// A window of 4 s may have one and a half times the limit and 5 requests. The senders use
-/// [`USED_SHARE`] of the limit, and one request each that they may have saved up before.
+/// [`USED_SHARE`] of the limit, and what they have saved up before: one request each on average.
 const SENDERS_PER_RATE: f64 = 1.5;
 /// Time for whose requests a sender may save up, beyond one request.
 const SAVED_TIME: Duration = Duration::from_millis(500);
@@ -49,18 +52,6 @@
 /// Result of reading a limit.
 pub type Result<T> = std::result::Result<T, Error>;
 
-impl From<Utf8Error> for Error {
-    fn from(_: Utf8Error) -> Self {
-        Self
-    }
-}
-
-impl From<ParseFloatError> for Error {
-    fn from(_: ParseFloatError) -> Self {
-        Self
-    }
-}
-
 /// Parses the values of a header that names requests per second, with an optional fraction.
 ///
 /// Returns `None` without a value, and the smallest of several.
@@ -71,24 +62,19 @@
 pub fn parse<'a>(values: impl IntoIterator<Item = &'a [u8]>) -> Result<Option<f64>> {
     let mut least: Option<f64> = None;
     for value in values {
-        let text = std::str::from_utf8(value)?;
+        let Ok(text) = str::from_utf8(value) else {
+            return Err(Error);
+        };
         for item in text.split(',') {
-            let limit = parse_number(item.trim_matches([' ', '\t']))?;
+            let limit = parse_number(item).ok_or(Error)?;
             least = Some(least.map_or(limit, |known| known.min(limit)));
         }
     }
     Ok(least)
 }
 
-fn parse_number(text: &str) -> Result<f64> {
-    let (whole, fraction) = text.split_once('.').unwrap_or((text, "0"));
-    let is_number =
-        |digits: &str| !digits.is_empty() && digits.bytes().all(|it| it.is_ascii_digit());
-    if !is_number(whole) || !is_number(fraction) {
-        return Err(Error);
-    }
-    let number: f64 = text.parse()?;
-    Ok(number.min(f64::MAX))
+fn parse_number(text: &str) -> Option<f64> {
+    decimal::parse(text.trim_matches([' ', '\t'])).map(|number| number.min(f64::MAX))
 }
 
 /// What one answer of a backend server said about its limit.
@@ -164,7 +150,17 @@
 /// Returns the largest number of hosts that may send to a server with this limit.
 pub fn max_senders(limit: f64) -> usize {
     // Truncation is intended; a larger limit than `usize` has more senders than there are hosts.
-    SENDERS_PER_RATE.mul_add(limit, MIN_SENDERS) as usize
+    max_saved(limit) as usize
+}
+
+/// Returns the requests that all senders together may save up, at least one for each of them.
+fn max_saved(limit: f64) -> f64 {
+    SENDERS_PER_RATE.mul_add(limit, MIN_SENDERS)
+}
+
+/// Returns when a limit ended by a statement that arrived at `received`, unless it had before.
+fn end_of(limit: Option<f64>, former: Option<Instant>, received: Instant) -> Option<Instant> {
+    limit.is_none().then(|| former.unwrap_or(received))
 }
 
 /// Returns the requests per second that all senders together send to a server with this limit.
@@ -241,7 +237,7 @@
         let limit = self.in_force(now)?;
         let senders = self.place?.senders.max(1) as f64;
         let rate = total_rate(limit) / senders;
-        let saved = SENDERS_PER_RATE.mul_add(limit, MIN_SENDERS) / senders;
+        let saved = max_saved(limit) / senders;
         let burst = SAVED_TIME
             .as_secs_f64()
             .mul_add(rate, 1.0)
@@ -309,10 +305,7 @@
 
     /// Takes in a statement that this host heard from the server itself.
     pub fn hear(&mut self, statement: Statement) {
-        self.heard_end = match (statement.limit, self.heard_end) {
-            (Some(_), _) => None,
-            (None, known) => known.or(Some(statement.received)),
-        };
+        self.heard_end = end_of(statement.limit, self.heard_end, statement.received);
         self.heard = Some(statement);
         self.observe(statement);
     }
@@ -328,10 +321,7 @@
     /// The later of two statements holds. If it is not known which one is later, the stricter one.
     pub fn observe(&mut self, statement: Statement) {
         self.replace(statement);
-        self.ended = match (self.statement.limit, self.ended) {
-            (Some(_), _) => None,
-            (None, known) => known.or(Some(statement.received)),
-        };
+        self.ended = end_of(self.statement.limit, self.ended, statement.received);
     }
 
     fn replace(&mut self, statement: Statement) {
