feat(entry): decisions about rows of a restored store are logged; gauges of era, held rows, age of keys

Change: a line for each row of a new era that differs from what is in force, a line when the acceptance of keys changes, three gauges. No decision changes.

--- a/crates/entry/src/process/control.rs
+++ b/crates/entry/src/process/control.rs
@@ -137,6 +137,7 @@
         return look_up(state, request.uri().query().unwrap_or_default());
     }
     if path == METRICS_PATH {
+        state.update_store_metrics();
         return Response::new(Full::new(state.metrics.text().into()));
     }
     status(StatusCode::NOT_FOUND)
--- a/crates/entry/src/process/gossip.rs
+++ b/crates/entry/src/process/gossip.rs
@@ -210,6 +210,7 @@
     /// Removes unreachable hosts and updates what depends on the number of reachable ones.
     fn sweep(&self) {
         let now = self.state.now();
+        self.state.log_restore();
         let mut membership = self.state.membership.lock();
         let removed = membership.presence.remove_expired(now);
         for host in &removed {
--- a/crates/entry/src/process/metrics.rs
+++ b/crates/entry/src/process/metrics.rs
@@ -27,6 +27,9 @@
     /// Number of open connections of callers.
     pub connections: IntGauge,
     connection_limit: IntGaugeVec,
+    store_era: IntGauge,
+    held_rows: IntGauge,
+    keys_age: Gauge,
     /// Time in seconds by which tasks last ran late.
     pub lag: Gauge,
 }
@@ -49,22 +52,11 @@
             registry.register(Box::new(gauge.clone()))?;
             Ok::<_, Error>(gauge)
         };
-        let connection_limit = IntGaugeVec::new(
-            Opts::new(
-                "azurenotch_entry_connection_limit",
-                "Connections above which idle ones are closed for new ones, by port",
-            ),
-            &["port"],
-        )?;
-        registry.register(Box::new(connection_limit.clone()))?;
-        let limited_servers = IntGaugeVec::new(
-            Opts::new(
-                "azurenotch_entry_limited_servers",
-                "Backend servers that have named a limit, by service",
-            ),
-            &["service"],
-        )?;
-        registry.register(Box::new(limited_servers.clone()))?;
+        let gauges = |name: &str, help: &str, labels: &[&str]| {
+            let gauges = IntGaugeVec::new(Opts::new(name, help), labels)?;
+            registry.register(Box::new(gauges.clone()))?;
+            Ok::<_, Error>(gauges)
+        };
         let limit_part = GaugeVec::new(
             Opts::new(
                 "azurenotch_entry_limit_part",
@@ -73,17 +65,11 @@
             &["service"],
         )?;
         registry.register(Box::new(limit_part.clone()))?;
-        let lag = Gauge::new(
-            "azurenotch_entry_lag_seconds",
-            "Time by which tasks last ran late",
-        )?;
-        registry.register(Box::new(lag.clone()))?;
-        let options = HistogramOpts::new(
-            "azurenotch_entry_latency_seconds",
-            "Time from the header of a request to that of its answer",
-        );
-        let latency = HistogramVec::new(options.buckets(LATENCY_BUCKETS.to_vec()), &["route"])?;
-        registry.register(Box::new(latency.clone()))?;
+        let seconds = |name: &str, help: &str| {
+            let gauge = Gauge::new(name, help)?;
+            registry.register(Box::new(gauge.clone()))?;
+            Ok::<_, Error>(gauge)
+        };
         Ok(Self {
             answers: vector(
                 "azurenotch_entry_answers_total",
@@ -105,7 +91,11 @@
                 "Sends to backend servers that have named a limit, by service",
                 &["service"],
             )?,
-            limited_servers,
+            limited_servers: gauges(
+                "azurenotch_entry_limited_servers",
+                "Backend servers that have named a limit, by service",
+                &["service"],
+            )?,
             limit_part,
             server_limits: vector(
                 "azurenotch_entry_server_limits_total",
@@ -122,9 +112,28 @@
                 "azurenotch_entry_connections",
                 "Open connections of callers",
             )?,
-            connection_limit,
-            lag,
-            latency,
+            connection_limit: gauges(
+                "azurenotch_entry_connection_limit",
+                "Connections above which idle ones are closed for new ones, by port",
+                &["port"],
+            )?,
+            store_era: gauge(
+                "azurenotch_entry_store_era",
+                "Era of the store in which its rows were last read",
+            )?,
+            held_rows: gauge(
+                "azurenotch_entry_held_rows",
+                "Rows in force that the store has lost or has in another form",
+            )?,
+            keys_age: seconds(
+                "azurenotch_entry_keys_age_seconds",
+                "Time since the keys were last confirmed",
+            )?,
+            lag: seconds(
+                "azurenotch_entry_lag_seconds",
+                "Time by which tasks last ran late",
+            )?,
+            latency: latency(&registry)?,
             registry,
         })
     }
@@ -184,6 +193,15 @@
         self.store.with_label_values(&[subject, result]).inc();
     }
 
+    /// Sets the era of the store, the number of rows that it has lost, and the age of the keys.
+    pub fn set_store(&self, era: u16, held_rows: usize, keys_age: Option<Duration>) {
+        self.store_era.set(era.into());
+        self.held_rows
+            .set(i64::try_from(held_rows).unwrap_or(i64::MAX));
+        let age = keys_age.map_or(f64::INFINITY, |age| age.as_secs_f64());
+        self.keys_age.set(age);
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub fn text(&self) -> String {
         let families = self.registry.gather();
@@ -193,6 +211,17 @@
     }
 }
 
+/// Creates and registers the histogram of latencies.
+fn latency(registry: &Registry) -> Result<HistogramVec, Error> {
+    let options = HistogramOpts::new(
+        "azurenotch_entry_latency_seconds",
+        "Time from the header of a request to that of its answer",
+    );
+    let latency = HistogramVec::new(options.buckets(LATENCY_BUCKETS.to_vec()), &["route"])?;
+    registry.register(Box::new(latency.clone()))?;
+    Ok(latency)
+}
+
 /// Digits of a status code, formatted without an allocation per answer.
 struct Digits([u8; 3]);
 
--- a/crates/entry/src/process/replica.rs
+++ b/crates/entry/src/process/replica.rs
@@ -1,8 +1,10 @@
 //! Replica of the platform's rows on one host.
 
+mod conflict;
 mod hold;
 mod update;
 
+pub use conflict::Conflict;
 pub use hold::LostOutcome;
 pub use update::Update;
 
@@ -16,6 +18,7 @@
     id::{DataCentre, Server, Service},
     time::Instant,
 };
+use derive_more::Display;
 use hold::{Held, PEER_HOLD_TIME, known_content};
 use std::{collections::VecDeque, sync::Arc, time::Duration};
 use update::StoreAnswer;
@@ -65,17 +68,23 @@
     held: Map<Key, Held>,
     /// Number that orders the present content of a row, where its version has a lower one.
     contents: Map<Key, u64>,
+    /// Decisions between contents of different eras that were not logged yet.
+    conflicts: VecDeque<Conflict>,
 }
 
 /// Maximum number of removed rows that are kept.
 const MAX_REMOVED_ROWS: usize = 4096;
 
 /// Key of a row.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Display)]
 enum Key {
+    #[display("move {_0}")]
     Move(Service),
+    #[display("evacuation {_0}")]
     Evacuation(DataCentre),
+    #[display("server {_0}")]
     Backend(Server),
+    #[display("state of move {_0}")]
     Outcome(Service),
 }
 
@@ -276,6 +285,11 @@
             let content = known_content(&self.contents, &key, known);
             let is_older = fact.content_number() <= content;
             let is_same = known.item == fact.item;
+            if !is_same && (new_era || fact.origin.is_some()) {
+                let known_version = Era::of(known.version).version(content);
+                let conflict = Conflict::new(&key, known_version, Some(&fact), is_older);
+                conflict::record(&mut self.conflicts, conflict);
+            }
             if !is_same && (new_era || fact.origin.is_some()) && is_older {
                 known.origin = Some(Era::of(known.version).version(content));
                 known.version = version;
--- a/crates/entry/src/process/replica/hold.rs
+++ b/crates/entry/src/process/replica/hold.rs
@@ -2,7 +2,11 @@
 //!
 //! What was in force stays in force until its writer has written it again, or for [`HOLD_TIME`].
 
-use super::{Key, Replica, belongs, is_removed, key};
+use super::{
+    Key, Replica, belongs,
+    conflict::{self, Conflict},
+    is_removed, key,
+};
 use crate::{
     era::Era,
     model::{Fact, Item, Outcome},
@@ -69,14 +73,19 @@
                 dropped.extend(copy.map(|(index, _)| index));
                 continue;
             }
+            let content = known_content(&self.contents, key, known);
+            let known_version = known.origin.unwrap_or(known.version);
             let is_current = copy.is_some_and(|(_, copy)| {
-                let content = known_content(&self.contents, key, known);
                 copy.item == known.item || copy.content_number() > content
             });
+            let copy_row = copy.map(|(_, copy)| copy);
+            if copy_row.map_or(!is_removed(&known.item), |copy| copy.item != known.item) {
+                let conflict = Conflict::new(key, known_version, copy_row, !is_current);
+                conflict::record(&mut self.conflicts, conflict);
+            }
             if is_current {
                 continue;
             }
-            let content = known_content(&self.contents, key, known);
             known.origin = Some(Era::of(known.version).version(content));
             known.version = version;
             if copy.is_none() && is_removed(&known.item) {
--- a/crates/entry/src/process/state.rs
+++ b/crates/entry/src/process/state.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     connection::register::{Crowd, Observer},
+    era::Era,
     model::Peer,
     platform::{Format, Store, Subject},
     process::{change::last_resort_time, metrics::Metrics, replica::Replica},
@@ -114,6 +115,8 @@
     joined: OnceLock<Instant>,
     /// One bit per subject, set while the last call to the store about it failed.
     failed_subjects: AtomicU8,
+    /// Whether keys were accepted when that was last logged.
+    trusted_keys: AtomicBool,
     /// Whether a backend server has ever named a limit, so that answers without one matter.
     pub(super) has_limits: AtomicBool,
     /// Memory that buffered bodies use.
@@ -154,6 +157,7 @@
             stop: OnceLock::new(),
             joined: OnceLock::new(),
             failed_subjects: AtomicU8::new(0),
+            trusted_keys: AtomicBool::new(false),
             has_limits: AtomicBool::new(false),
             setting: ArcSwap::from_pointee(setting),
         })
@@ -232,6 +236,43 @@
         freshness.confirmed.is_some_and(|at| now.since(at) < limit)
     }
 
+    /// Updates the metrics about the store.
+    pub fn update_store_metrics(&self) {
+        let now = self.now();
+        let replica = self.replica.lock();
+        let confirmed = replica.freshness(Subject::Orders).confirmed;
+        let age = confirmed.map(|at| now.since(at));
+        self.metrics
+            .set_store(replica.era().0, replica.held_count(), age);
+    }
+
+    /// Logs decisions between rows in force and those of a restored store, and whether keys are
+    /// accepted.
+    pub fn log_restore(&self) {
+        let now = self.now();
+        let conflicts = self.replica.lock().take_conflicts();
+        for conflict in conflicts {
+            let stored = conflict.stored_version;
+            info!(self.log(), "store: row differs from what is in force"; "row" => conflict.row,
+                "known-era" => Era::of(conflict.known_version).0,
+                "known" => Era::number(conflict.known_version),
+                "stored-era" => stored.map(|version| Era::of(version).0),
+                "stored" => stored.map(Era::number), "kept" => conflict.is_kept);
+        }
+        let trusts = self.trusts_keys(now);
+        if self.trusted_keys.swap(trusts, Ordering::Relaxed) != trusts {
+            let replica = self.replica.lock();
+            let freshness = replica.freshness(Subject::Orders);
+            let age = freshness
+                .confirmed
+                .map(|at| now.since(at).as_millis() as u64);
+            let era = replica.era();
+            drop(replica);
+            info!(self.log(), "keys: acceptance changed"; "accepted" => trusts, "age-ms" => age,
+                "era" => era.0, "configuration" => self.configuration_version());
+        }
+    }
+
     /// Returns the number of hosts, this one and unreachable ones included.
     pub fn host_count(&self) -> usize {
         self.membership.lock().presence.count()
