--- a/crates/entry/src/process/replica/tests.rs
+++ b/crates/entry/src/process/replica/tests.rs
@@ -168,6 +168,74 @@
     }
 }
 
+/// What a host has in force and the store has lost, as facts and as whether another host acts on it.
+struct Shared {
+    subject: Subject,
+    lost: fn(u64) -> Fact,
+    copy: Option<fn(u64) -> Fact>,
+    in_force: fn(&Replica) -> bool,
+}
+
+/// Guards against a host that takes the copy for the truth although a peer knows better.
+///
+/// It has started since the restore, or was behind, and reads the store itself.
+#[test_case(Shared {
+    subject: Subject::Orders,
+    lost: |version| evacuated(version, true),
+    copy: None,
+    in_force: |host| host.is_evacuated(&"a".into()),
+}; "an evacuation")]
+#[test_case(Shared {
+    subject: Subject::Servers,
+    lost: |version| listed(version, "x", true),
+    copy: Some(|version| listed(version, "x", false)),
+    in_force: |host| host.backends().all(|(_, backend)| backend.draining),
+}; "a server that leaves")]
+#[test_case(Shared {
+    subject: Subject::Servers,
+    lost: |version| Fact::new(version, Item::Backend("x".into(), None)),
+    copy: Some(|version| listed(version, "x", false)),
+    in_force: |host| host.backends().count() == 0,
+}; "a server that has left")]
+fn a_host_that_has_read_the_copy_learns_what_others_hold(case: Shared) {
+    let mut knowing = Replica::default();
+    let mut started = Replica::default();
+    let copied = case.copy.map(|copy| copy(FIRST.version(4)));
+    knowing.apply(Instant::ZERO, copied.into_iter().collect());
+    knowing.apply(Instant::ZERO, vec![(case.lost)(FIRST.version(9))]);
+    let copy: Vec<Fact> = case
+        .copy
+        .map(|copy| copy(SECOND.version(4)))
+        .into_iter()
+        .collect();
+    for host in [&mut knowing, &mut started] {
+        host.replace(
+            Instant::ZERO,
+            case.subject,
+            SECOND.version(13),
+            copy.clone(),
+        );
+    }
+    assert!((case.in_force)(&knowing));
+    started.apply(Instant::ZERO, knowing.outcomes());
+    assert!((case.in_force)(&started));
+}
+
+/// Guards against a row that stays at one host for ever, because no other host knew it.
+#[test]
+fn a_host_that_learns_of_an_era_from_another_gets_all_rows() {
+    let mut reader = Replica::default();
+    let mut other = Replica::default();
+    other.apply(Instant::ZERO, vec![listed(FIRST.version(9), "x", false)]);
+    let read = SECOND.version(12);
+    reader.replace(Instant::ZERO, Subject::Servers, read, Vec::new());
+    reader.confirm(Subject::Servers, read, Instant::ZERO);
+    let update = reader.update_since(Subject::Servers, FIRST.version(9));
+    assert_eq!(update.after, 0, "rows that it lacks are not known as lost");
+    other.replace(Instant::ZERO, Subject::Servers, update.up_to, update.facts);
+    assert!(other.has_holds(Subject::Servers));
+}
+
 /// The store of the search: rows with their versions and serial numbers.
 #[derive(Debug, Clone, Default)]
 struct Store {
