fix(entry): a restored store confirms keys only after the operator has had time to write again

Callers: a key whose withdrawal a host had missed was accepted again from the host's first read of the restored store until the operator wrote again, beyond the bound of 5 s. Cause: a read counted as a confirmation of all changes, but it proves only what the copy has; a peer's confirmation was taken also without its newer configuration. Change: what confirms the keys is kept apart from what confirms the reads. In a new era it counts from 2.5 s after the first read, or at once if the configuration's row is seen to be written in this era. Evidence: contract::restore::a_withdrawal_that_the_host_missed_outlasts_the_copy failed (accepted 6.1 s after the withdrawal) and passes; the 12 others of contract::restore pass. A test of a host that starts on the copy passed before as well: on loopback its peers answer before it accepts keys.

--- a/crates/entry/src/process/gossip/inbound.rs
+++ b/crates/entry/src/process/gossip/inbound.rs
@@ -134,6 +134,7 @@
                 (Subject::Orders, message.orders),
                 (Subject::Servers, message.servers),
             ],
+            newer_configuration,
         );
         Received {
             newer_peer: (newer || newer_configuration).then_some(NewerPeer { address }),
@@ -239,11 +240,13 @@
     ///
     /// The sender's confirmation counts from the time that the echo proves. Returns whether the
     /// sender has a newer version that this host's own feed is not expected to deliver.
+    /// `newer_configuration` says whether the sender has a newer configuration.
     fn confirm(
         &self,
         now: Instant,
         echo: Option<Echo>,
         reports: &[(Subject, FreshnessReport)],
+        newer_configuration: bool,
     ) -> bool {
         let incarnation = self.state.own.incarnation;
         let follows = self.follows.load(Ordering::Relaxed);
@@ -260,6 +263,8 @@
                 let stale = own.confirmed.is_none_or(|at| now.since(at) > stale_age);
                 newer |= stale || !follows;
             } else if theirs.version == own.version
+                // The sender's confirmation includes a configuration that the store has lost.
+                && !(newer_configuration && *subject == Subject::Orders)
                 && let Some((echo, age_ms)) = echo.zip(theirs.age_ms)
                 && let Some(at) =
                     echo.confirmed_at(now, incarnation, Duration::from_millis(age_ms.into()))
--- a/crates/entry/src/process/replica.rs
+++ b/crates/entry/src/process/replica.rs
@@ -1,5 +1,6 @@
 //! Replica of the platform's rows on one host.
 
+mod complete;
 mod conflict;
 mod hold;
 mod update;
@@ -18,6 +19,7 @@
     id::{DataCentre, Server, Service},
     time::Instant,
 };
+use complete::Completeness;
 use derive_more::Display;
 use hold::{Held, PEER_HOLD_TIME, known_content};
 use std::{collections::VecDeque, sync::Arc, time::Duration};
@@ -58,6 +60,8 @@
     rows: Map<Key, Fact>,
     orders: Freshness,
     servers: Freshness,
+    /// Up to when the configuration has all changes that the operator was told are accepted.
+    completeness: Completeness,
     /// Reading of the store's monotonic clock, and the instant of the reading.
     clock: Option<(Instant, Duration)>,
     /// Recent answers of the store, for updates to hosts that do not follow it.
@@ -105,6 +109,9 @@
             freshness.version = freshness.version.max(version);
             freshness.confirmed = freshness.confirmed.max(Some(at));
         }
+        if subject == Subject::Orders {
+            self.completeness.confirm(at);
+        }
     }
 
     fn freshness_mut(&mut self, subject: Subject) -> Option<&mut Freshness> {
@@ -200,6 +207,9 @@
         version: u64,
         mut facts: Vec<Fact>,
     ) -> Vec<Change> {
+        if subject == Subject::Orders {
+            self.completeness.enter_era(now, version);
+        }
         self.hold_lost(now, subject, version, &mut facts);
         // The store decides about rows that were held and not written again.
         for (key, known) in &mut self.rows {
@@ -244,17 +254,7 @@
     fn adopt(&mut self, now: Instant, fact: Fact) -> Option<Change> {
         let version = fact.version;
         match fact.item {
-            Item::Config(config) => {
-                let newer = self
-                    .config
-                    .as_ref()
-                    .is_none_or(|(_, it)| it.version < config.version);
-                newer.then(|| {
-                    let config = Arc::new(*config);
-                    self.config = Some((version, Arc::clone(&config)));
-                    Change::Config(config)
-                })
-            }
+            Item::Config(config) => self.adopt_config(version, *config),
             Item::Peer(_, peer) => peer.map(Change::Peer),
             item => {
                 let fact = Fact {
@@ -267,6 +267,26 @@
         }
     }
 
+    fn adopt_config(&mut self, version: u64, config: Config) -> Option<Change> {
+        if let Some((row, known)) = &mut self.config {
+            if self
+                .completeness
+                .is_rewrite(*row, known.version, version, config.version)
+            {
+                self.completeness.end_gap();
+            }
+            if known.version == config.version {
+                *row = version.max(*row);
+            }
+            if known.version >= config.version {
+                return None;
+            }
+        }
+        let config = Arc::new(config);
+        self.config = Some((version, Arc::clone(&config)));
+        Some(Change::Config(config))
+    }
+
     fn adopt_row(&mut self, now: Instant, fact: Fact) -> Option<Change> {
         let version = fact.version;
         let key = key(&fact.item)?;
--- /dev/null
+++ b/crates/entry/src/process/replica/complete.rs
@@ -0,0 +1,71 @@
+//! Up to when a host knows all accepted changes of the configuration, across restores of the store.
+
+use super::Replica;
+use crate::era::Era;
+use azurenotch_wire::time::Instant;
+use std::time::Duration;
+
+/// Time from a host's first read in an era until the operator has written again what was lost.
+///
+/// Writers do so within about two seconds of the store's return; the rest is for the host's own read.
+const REWRITE_TIME: Duration = Duration::from_millis(2_500);
+
+/// Up to when the configuration has all changes that the operator was told are accepted.
+///
+/// A store that has come back from an older copy confirms what the copy has. Changes that it lost are
+/// missing until the operator has written them again.
+#[derive(Debug, Default)]
+pub(super) struct Completeness {
+    /// Latest instant as of which no accepted change is missing.
+    at: Option<Instant>,
+    /// Version of the store at the first read in the present era; 0 before any read.
+    first_read: u64,
+    /// Instant from which confirmations count, in an era in which changes may be missing.
+    gap_until: Option<Instant>,
+}
+
+impl Completeness {
+    /// Records a read of all orders at a version of the store.
+    pub(super) fn enter_era(&mut self, now: Instant, version: u64) {
+        if Era::of(version) <= Era::of(self.first_read) && self.first_read != 0 {
+            return;
+        }
+        if self.first_read != 0 {
+            self.gap_until = Some(now + REWRITE_TIME);
+        }
+        self.first_read = version;
+    }
+
+    /// Records that the store had no later change at an instant.
+    pub(super) fn confirm(&mut self, at: Instant) {
+        if self.gap_until.is_none_or(|until| at >= until) {
+            self.at = self.at.max(Some(at));
+        }
+    }
+
+    /// Ends the time in which changes may be missing: the operator has written in this era.
+    pub(super) fn end_gap(&mut self) {
+        self.gap_until = None;
+    }
+
+    /// Returns whether the operator wrote a row of the configuration after the restore.
+    ///
+    /// `known_row` and `known` are the versions of the known row and of its content, `row` and
+    /// `content` those of the row in question. A copy has a content under the number under which it
+    /// was first read.
+    pub(super) fn is_rewrite(&self, known_row: u64, known: u64, row: u64, content: u64) -> bool {
+        let is_restored = Era::of(known_row) < Era::of(row);
+        let renumbered = content == known && Era::number(row) != Era::number(known_row);
+        let is_later = Era::of(row) == Era::of(self.first_read) && row > self.first_read;
+        content >= known && ((is_restored && renumbered) || is_later)
+    }
+}
+
+impl Replica {
+    /// Returns the latest instant as of which the configuration has all accepted changes.
+    ///
+    /// `None` if the store has never confirmed it.
+    pub fn complete(&self) -> Option<Instant> {
+        self.completeness.at
+    }
+}
--- a/crates/entry/src/process/state.rs
+++ b/crates/entry/src/process/state.rs
@@ -231,17 +231,16 @@
         if !bounds.strict_withdrawal {
             return true;
         }
-        let freshness = self.replica.lock().freshness(Subject::Orders);
+        let complete = self.replica.lock().complete();
         let limit = bounds.withdrawal.saturating_sub(WITHDRAWAL_MARGIN);
-        freshness.confirmed.is_some_and(|at| now.since(at) < limit)
+        complete.is_some_and(|at| now.since(at) < limit)
     }
 
     /// Updates the metrics about the store.
     pub fn update_store_metrics(&self) {
         let now = self.now();
         let replica = self.replica.lock();
-        let confirmed = replica.freshness(Subject::Orders).confirmed;
-        let age = confirmed.map(|at| now.since(at));
+        let age = replica.complete().map(|at| now.since(at));
         self.metrics
             .set_store(replica.era().0, replica.held_count(), age);
     }
@@ -262,10 +261,8 @@
         let trusts = self.trusts_keys(now);
         if self.trusted_keys.swap(trusts, Ordering::Relaxed) != trusts {
             let replica = self.replica.lock();
-            let freshness = replica.freshness(Subject::Orders);
-            let age = freshness
-                .confirmed
-                .map(|at| now.since(at).as_millis() as u64);
+            let complete = replica.complete();
+            let age = complete.map(|at| now.since(at).as_millis() as u64);
             let era = replica.era();
             drop(replica);
             info!(self.log(), "keys: acceptance changed"; "accepted" => trusts, "age-ms" => age,
