fix(entry): contents of a row are ordered across restores by what the host saw, and hosts share what they keep

Callers: for up to 5 s after a restore, work went by content that had been replaced: a row written between the restore and a host's first read under a low number counted as old, a host that had been behind took lost content for newer than it was, and a host that had started meanwhile took the copy for the truth although its peers knew better. Cause: contents and updates were ordered by numbers that a restored store gives out again. Change: a host remembers under which numbers it saw a row's contents (Lineage) and the first read of each era (Eras); a row is later or earlier only if one of these shows it, else what is in force stays at this host for 5 s. What is certain or asks for caution is told to all hosts. An update across eras holds all rows.

--- a/crates/entry/src/model.rs
+++ b/crates/entry/src/model.rs
@@ -1,6 +1,5 @@
 //! Rows of the platform: configuration, backend servers, orders and the states of version moves.
 
-use crate::era::Era;
 use azurenotch_wire::{
     Map,
     id::{DataCentre, Host, Region, Release, Route as RouteName, Server, Service, Workspace},
@@ -199,15 +198,6 @@
             origin: None,
         }
     }
-
-    /// Returns the number of the version at which the row got its content.
-    ///
-    /// A row of the copy has the era in which it was read and a number below those that were lost, so
-    /// that numbers tell across eras which row is older. They do not for content that was written
-    /// between a restore and a host's first read; `KNOWN-RED.txt` has the case.
-    pub fn content_number(&self) -> u64 {
-        Era::number(self.origin.unwrap_or(self.version))
-    }
 }
 
 /// Content of one row; `None` if the row was removed or cannot be used.
--- a/crates/entry/src/process/gossip.rs
+++ b/crates/entry/src/process/gossip.rs
@@ -22,7 +22,7 @@
     net::SocketAddr,
     sync::{
         Arc,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     time::Duration,
 };
@@ -51,6 +51,8 @@
 const MAX_LEAVING_AGE: Duration = Duration::from_secs(4);
 /// Maximum number of leaving servers that one message names.
 const MAX_LEAVING_PER_ROUND: usize = 40;
+/// Maximum number of rows that the store has lost in one message.
+const MAX_HELD_PER_ROUND: usize = 16;
 /// Time between two checks for missing messages.
 const REACH_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -63,6 +65,8 @@
     echoes: Mutex<azurenotch_wire::Map<Host, Echo>>,
     /// Share of all hosts that was reachable in the last round.
     reachable_share: Mutex<Option<f64>>,
+    /// Number of rounds so far.
+    round: AtomicUsize,
     /// Whether this host followed the store in the last round.
     follows: AtomicBool,
 }
@@ -87,6 +91,7 @@
             socket,
             echoes: Mutex::default(),
             reachable_share: Mutex::default(),
+            round: AtomicUsize::new(0),
             follows: AtomicBool::new(false),
         })
     }
@@ -279,7 +284,8 @@
         let updates = follows.then(|| {
             UPDATE_SUBJECTS.map(|subject| replica.recent_update(now, subject, MAX_FACTS_PER_UPDATE))
         });
-        let outcomes = replica.outcomes();
+        let round = self.round.fetch_add(1, Ordering::Relaxed);
+        let shared = replica.shared(round, MAX_HELD_PER_ROUND);
         drop(replica);
         let mut usage = Vec::new();
         for (workspace, quota) in state.quotas.lock().iter_mut() {
@@ -320,7 +326,7 @@
             orders: FreshnessReport::new(now, orders),
             servers: FreshnessReport::new(now, servers),
             updates,
-            outcomes,
+            shared,
             usage,
             rates,
             evidence,
--- a/crates/entry/src/process/gossip/inbound.rs
+++ b/crates/entry/src/process/gossip/inbound.rs
@@ -125,7 +125,7 @@
             state.receive_limits(now, echoed, &limits.reports);
         }
         self.receive_updates(message.updates);
-        self.receive_outcomes(message.outcomes);
+        self.receive_shared(message.shared);
         let newer_configuration = tail.configuration > state.configuration_version();
         let newer = self.confirm(
             now,
@@ -200,13 +200,14 @@
         self.state.apply(changes, "peer");
     }
 
-    /// Applies states of version moves, so that hosts that do not write them need not read them.
-    fn receive_outcomes(&self, outcomes: Vec<Fact>) {
-        if outcomes.is_empty() {
+    /// Applies states of version moves, so that hosts that do not write them need not read them, and
+    /// rows that the store has lost.
+    fn receive_shared(&self, facts: Vec<Fact>) {
+        if facts.is_empty() {
             return;
         }
         let now = self.state.now();
-        let changes = self.state.replica.lock().apply(now, outcomes);
+        let changes = self.state.replica.lock().apply(now, facts);
         self.state.apply(changes, "peer");
     }
 
--- a/crates/entry/src/process/message.rs
+++ b/crates/entry/src/process/message.rs
@@ -41,8 +41,8 @@
     pub(crate) servers: FreshnessReport,
     /// Recent changes of orders and servers; `None` if the sender does not follow the store.
     pub(crate) updates: Option<[Update; 2]>,
-    /// States of version moves that the store has.
-    pub(crate) outcomes: Vec<Fact>,
+    /// States of version moves, and rows that the store has lost.
+    pub(crate) shared: Vec<Fact>,
     /// Admitted requests by the hash of the workspace, for workspaces with recent requests.
     pub(crate) usage: Vec<(u32, Count)>,
     /// Requests per second by the hash of the service.
--- a/crates/entry/src/process/relay.rs
+++ b/crates/entry/src/process/relay.rs
@@ -160,8 +160,9 @@
         replica.advance(subject, update.up_to);
         return changes;
     }
+    let changes = replica.apply(now, update.facts);
     replica.advance(subject, update.up_to);
-    replica.apply(now, update.facts)
+    changes
 }
 
 async fn request(state: &State, address: SocketAddr) -> Result<Answer> {
--- a/crates/entry/src/process/replica.rs
+++ b/crates/entry/src/process/replica.rs
@@ -1,8 +1,10 @@
 //! Replica of the platform's rows on one host.
 
+mod adopt;
 mod complete;
 mod conflict;
 mod hold;
+mod lineage;
 mod update;
 
 pub use conflict::Conflict;
@@ -21,7 +23,8 @@
 };
 use complete::Completeness;
 use derive_more::Display;
-use hold::{Held, PEER_HOLD_TIME, known_content};
+use hold::Held;
+use lineage::{Eras, Lineage};
 use std::{collections::VecDeque, sync::Arc, time::Duration};
 use update::StoreAnswer;
 
@@ -70,8 +73,9 @@
     removals_kept_after: u64,
     /// Rows that the store lost when it came back from an older copy, until they are written again.
     held: Map<Key, Held>,
-    /// Number that orders the present content of a row, where its version has a lower one.
-    contents: Map<Key, u64>,
+    /// Contents of rows that changed, or were read in several eras.
+    lineages: Map<Key, Lineage>,
+    eras: Eras,
     /// Decisions between contents of different eras that were not logged yet.
     conflicts: VecDeque<Conflict>,
 }
@@ -112,6 +116,7 @@
         if subject == Subject::Orders {
             self.completeness.confirm(at);
         }
+        self.eras.see(at, version);
     }
 
     fn freshness_mut(&mut self, subject: Subject) -> Option<&mut Freshness> {
@@ -149,6 +154,7 @@
             let removals_kept_after = self.removals_kept_after;
             self.rows
                 .retain(|_, fact| fact.version > removals_kept_after || !is_removed(&fact.item));
+            self.lineages.retain(|key, _| self.rows.contains_key(key));
         }
     }
 
@@ -160,17 +166,43 @@
             .collect()
     }
 
-    /// Returns all rows as facts.
+    /// Returns all rows as facts, as other hosts get them.
+    ///
+    /// Of a row that is held without certainty they get what the store has, and decide themselves.
     fn facts(&self) -> Vec<Fact> {
         let config = self.config.iter().map(|(version, config)| {
             let item = Item::Config(Box::new(config.as_ref().clone()));
             Fact::new(*version, item)
         });
-        config.chain(self.rows.values().cloned()).collect()
+        let rows = self.rows.iter().filter_map(|(key, fact)| {
+            let local = self
+                .held
+                .get(key)
+                .filter(|held| !held.is_shared(&fact.item));
+            local.map_or_else(|| Some(fact.clone()), |held| held.stored.clone())
+        });
+        config.chain(rows).collect()
+    }
+
+    /// Returns what other hosts may not find in the store.
+    ///
+    /// These are the states of the version moves that are ordered, and at most `most` rows that the
+    /// store has lost; a later call with a higher `round` returns the next of them.
+    pub fn shared(&self, round: usize, most: usize) -> Vec<Fact> {
+        let mut shared = self.outcomes();
+        let held = self.held.iter().filter_map(|(key, held)| {
+            let fact = self.rows.get(key)?;
+            (held.ends && held.is_shared(&fact.item)).then_some(fact)
+        });
+        let held: Vec<&Fact> = held.collect();
+        let first = (round * most) % held.len().max(1);
+        let rows = held.iter().cycle().skip(first);
+        shared.extend(rows.take(most.min(held.len())).copied().cloned());
+        shared
     }
 
     /// Returns the states of the version moves that are ordered.
-    pub fn outcomes(&self) -> Vec<Fact> {
+    fn outcomes(&self) -> Vec<Fact> {
         let rows = self.rows.values().filter(|fact| match &fact.item {
             Item::Outcome(service, Some(_)) => {
                 let order = self.rows.get(&Key::Move(service.clone()));
@@ -207,20 +239,22 @@
         version: u64,
         mut facts: Vec<Fact>,
     ) -> Vec<Change> {
+        self.eras.read(now, version);
         if subject == Subject::Orders {
             self.completeness.enter_era(now, version);
         }
         self.hold_lost(now, subject, version, &mut facts);
+        let named: Vec<Key> = facts.iter().filter_map(|fact| key(&fact.item)).collect();
         // The store decides about rows that were held and not written again.
         for (key, known) in &mut self.rows {
             let was_held = known.origin.is_some() && !self.held.contains_key(key);
-            if was_held && belongs(key, subject) && known.version <= version {
+            let is_decided = named.contains(key) || !is_removed(&known.item);
+            if was_held && is_decided && belongs(key, subject) && known.version <= version {
                 known.version = 0;
                 known.origin = None;
-                self.contents.remove(key);
+                self.lineages.remove(key);
             }
         }
-        let named: Vec<Key> = facts.iter().filter_map(|fact| key(&fact.item)).collect();
         let gone: Vec<Fact> = self
             .rows
             .iter()
@@ -250,94 +284,6 @@
             .filter_map(|fact| self.adopt(now, fact))
             .collect()
     }
-
-    fn adopt(&mut self, now: Instant, fact: Fact) -> Option<Change> {
-        let version = fact.version;
-        match fact.item {
-            Item::Config(config) => self.adopt_config(version, *config),
-            Item::Peer(_, peer) => peer.map(Change::Peer),
-            item => {
-                let fact = Fact {
-                    version,
-                    item,
-                    origin: fact.origin,
-                };
-                self.adopt_row(now, fact)
-            }
-        }
-    }
-
-    fn adopt_config(&mut self, version: u64, config: Config) -> Option<Change> {
-        if let Some((row, known)) = &mut self.config {
-            if self
-                .completeness
-                .is_rewrite(*row, known.version, version, config.version)
-            {
-                self.completeness.end_gap();
-            }
-            if known.version == config.version {
-                *row = version.max(*row);
-            }
-            if known.version >= config.version {
-                return None;
-            }
-        }
-        let config = Arc::new(config);
-        self.config = Some((version, Arc::clone(&config)));
-        Some(Change::Config(config))
-    }
-
-    fn adopt_row(&mut self, now: Instant, fact: Fact) -> Option<Change> {
-        let version = fact.version;
-        let key = key(&fact.item)?;
-        let held = Held {
-            until: now + PEER_HOLD_TIME,
-            stored: fact.origin.map_or(version, |_| 0),
-            ends: !matches!(key, Key::Outcome(_)),
-        };
-        let known = self.rows.get_mut(&key);
-        if known.as_ref().is_some_and(|known| known.version >= version) {
-            return None;
-        }
-        let mut new_era = false;
-        if let Some(known) = known {
-            new_era = Era::of(known.version) < Era::of(version);
-            let content = known_content(&self.contents, &key, known);
-            let is_older = fact.content_number() <= content;
-            let is_same = known.item == fact.item;
-            if !is_same && (new_era || fact.origin.is_some()) {
-                let known_version = Era::of(known.version).version(content);
-                let conflict = Conflict::new(&key, known_version, Some(&fact), is_older);
-                conflict::record(&mut self.conflicts, conflict);
-            }
-            if !is_same && (new_era || fact.origin.is_some()) && is_older {
-                known.origin = Some(Era::of(known.version).version(content));
-                known.version = version;
-                self.held.insert(key, held);
-                return None;
-            }
-            if is_older {
-                // Newer content counts as newer whatever its number is.
-                self.contents
-                    .insert(key.clone(), content + u64::from(!is_same));
-            } else {
-                self.contents.remove(&key);
-            }
-        }
-        if fact.origin.is_some() {
-            self.held.insert(key.clone(), held);
-        } else {
-            self.held.remove(&key);
-        }
-        let item = fact.item.clone();
-        let former = self.rows.insert(key, fact).map(|known| known.item);
-        if former.as_ref() != Some(&item) {
-            return change(version, &item, former);
-        }
-        // Versions of orders and states are conditions of writes.
-        let tells = new_era && matches!(item, Item::Move(..) | Item::Outcome(..));
-        tells.then(|| change(version, &item, None)).flatten()
-    }
 }
 
 fn change(version: u64, item: &Item, former: Option<Item>) -> Option<Change> {
--- a/crates/entry/src/process/replica/hold.rs
+++ b/crates/entry/src/process/replica/hold.rs
@@ -6,6 +6,7 @@
     Key, Replica, belongs,
     conflict::{self, Conflict},
     is_removed, key,
+    lineage::Order,
 };
 use crate::{
     era::Era,
@@ -24,13 +25,32 @@
 pub(super) const PEER_HOLD_TIME: Duration = Duration::from_secs(10);
 
 /// Row that is kept although the store has an older one, or none.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub(super) struct Held {
     pub(super) until: Instant,
-    /// Version of the store's row; 0 if it has none.
-    pub(super) stored: u64,
+    /// The store's row, if it has one.
+    pub(super) stored: Option<Fact>,
     /// Whether it ends at `until`; rows that hosts write themselves are written again instead.
     pub(super) ends: bool,
+    /// Whether the store's row is known to be the older one.
+    pub(super) is_certain: bool,
+}
+
+impl Held {
+    /// Returns whether other hosts learn of the row: it is in force for certain, or asks for caution.
+    pub(super) fn is_shared(&self, item: &Item) -> bool {
+        let is_cautious = match item {
+            Item::Backend(_, backend) => backend.as_ref().is_none_or(|it| it.draining),
+            Item::Evacuation(_, on) => *on,
+            Item::Outcome(..) => true,
+            Item::Move(..) | Item::Config(_) | Item::Peer(..) => false,
+        };
+        self.is_certain || is_cautious
+    }
+
+    fn stored_version(&self) -> u64 {
+        self.stored.as_ref().map_or(0, |fact| fact.version)
+    }
 }
 
 /// State of a move that the store has lost.
@@ -60,48 +80,68 @@
     ) {
         let era = Era::of(version);
         let copies: Map<Key, usize> = facts.iter().enumerate().filter_map(by_key).collect();
+        let known: Vec<Key> = self.rows.keys().cloned().collect();
         let mut dropped = Vec::new();
-        for (key, known) in &mut self.rows {
-            if !belongs(key, subject) {
-                continue;
-            }
-            let copy = copies.get(key).map(|index| (*index, &facts[*index]));
+        for key in known.iter().filter(|key| belongs(key, subject)) {
+            let copy = copies.get(key).map(|index| &facts[*index]);
+            let known = &self.rows[key];
             if Era::of(known.version) >= era {
                 // Only a later write replaces a held row.
-                let copy = copy.filter(|(_, copy)| copy.version <= known.version);
-                let copy = copy.filter(|_| self.held.contains_key(key));
-                dropped.extend(copy.map(|(index, _)| index));
+                let is_decided = copy.is_some_and(|copy| copy.version <= known.version);
+                if is_decided && self.held.contains_key(key) {
+                    dropped.extend(copies.get(key));
+                }
                 continue;
             }
-            let content = known_content(&self.contents, key, known);
-            let known_version = known.origin.unwrap_or(known.version);
-            let is_current = copy.is_some_and(|(_, copy)| {
-                copy.item == known.item || copy.content_number() > content
-            });
-            let copy_row = copy.map(|(_, copy)| copy);
-            if copy_row.map_or(!is_removed(&known.item), |copy| copy.item != known.item) {
-                let conflict = Conflict::new(key, known_version, copy_row, !is_current);
-                conflict::record(&mut self.conflicts, conflict);
+            if self.hold_row(now, key, version, copy) {
+                dropped.extend(copies.get(key));
             }
-            if is_current {
-                continue;
-            }
-            known.origin = Some(Era::of(known.version).version(content));
-            known.version = version;
-            if copy.is_none() && is_removed(&known.item) {
-                continue;
-            }
-            dropped.extend(copy.map(|(index, _)| index));
+        }
+        dropped.sort_unstable();
+        for index in dropped.into_iter().rev() {
+            facts.swap_remove(index);
+        }
+    }
+
+    /// Holds a row of an earlier era unless the store's row is the same or was written later.
+    ///
+    /// `version` is that of a read in which the store had `copy`. Returns whether what was in force stays.
+    fn hold_row(&mut self, now: Instant, key: &Key, version: u64, copy: Option<&Fact>) -> bool {
+        let latest = self.lineage(key).latest();
+        let known = &self.rows[key];
+        let order = match copy {
+            Some(copy) if copy.item == known.item => return false,
+            Some(copy) => self.order(key, copy),
+            None if Era::number(latest) > Era::number(version) => Order::Earlier,
+            None => Order::Unknown,
+        };
+        let is_removed = is_removed(&known.item);
+        if copy.is_some() || !is_removed {
+            let conflict = Conflict::new(key, latest, copy, order != Order::Later);
+            conflict::record(&mut self.conflicts, conflict);
+        }
+        if order == Order::Later {
+            return false;
+        }
+        self.keep(key, version);
+        if copy.is_some() || !is_removed {
             let held = Held {
                 until: now + HOLD_TIME,
-                stored: copy.map_or(0, |(_, copy)| copy.version),
-                ends: subject != Subject::Outcomes,
+                ends: !matches!(key, Key::Outcome(_)),
+                is_certain: order == Order::Earlier,
+                stored: copy.cloned(),
             };
             self.held.insert(key.clone(), held);
         }
-        dropped.sort_unstable();
-        for index in dropped.into_iter().rev() {
-            facts.swap_remove(index);
+        true
+    }
+
+    /// Keeps the content in force instead of what the store has up to a version.
+    pub(super) fn keep(&mut self, key: &Key, version: u64) {
+        let latest = self.lineage(key).latest();
+        if let Some(known) = self.rows.get_mut(key) {
+            known.origin = Some(latest);
+            known.version = version;
         }
     }
 
@@ -126,7 +166,7 @@
 
     /// Returns the version of a row in the store, which differs from the known one while it is held.
     fn stored_version(&self, key: &Key) -> Option<u64> {
-        self.held.get(key).map(|held| held.stored)
+        self.held.get(key).map(Held::stored_version)
     }
 
     /// Returns the version of the store's row with the state of a move, if the store has lost one.
@@ -168,19 +208,13 @@
                 service: service.clone(),
                 outcome,
                 order_version: order.version,
-                state_version: held.stored,
+                state_version: held.stored_version(),
             })
         });
         lost.collect()
     }
 }
 
-/// Returns the number that orders the content of a known row among others of its key.
-pub(super) fn known_content(contents: &Map<Key, u64>, key: &Key, known: &Fact) -> u64 {
-    let content = contents.get(key).copied().unwrap_or_default();
-    content.max(known.content_number())
-}
-
 fn by_key((index, fact): (usize, &Fact)) -> Option<(Key, usize)> {
     Some((key(&fact.item)?, index))
 }
--- a/crates/entry/src/process/replica/tests.rs
+++ b/crates/entry/src/process/replica/tests.rs
@@ -1,7 +1,7 @@
 //! Rows that arrive twice, out of order, or not at all.
 
 use super::{
-    Change, Replica,
+    Change, Replica, Update,
     hold::{HOLD_TIME, PEER_HOLD_TIME},
 };
 use crate::{
@@ -217,10 +217,54 @@
         );
     }
     assert!((case.in_force)(&knowing));
-    started.apply(Instant::ZERO, knowing.outcomes());
+    started.apply(Instant::ZERO, knowing.shared(0, 1));
     assert!((case.in_force)(&started));
 }
 
+/// A row of the first read after a restore, at a host that had followed the store.
+///
+/// The host saw 9 slots at number 5 and nothing else until 20, then 8 slots at 30. The read is at 25.
+struct Read {
+    followed: Duration,
+    number: u64,
+    slots: u32,
+    in_force: u32,
+}
+
+/// Guards against content that is taken for that of the copy because of its number.
+#[test_case(Read { followed: Duration::from_mins(1), number: 12, slots: 7, in_force: 7 }; "a number of other content is written anew")]
+#[test_case(Read { followed: Duration::from_mins(1), number: 5, slots: 9, in_force: 8 }; "former content under its number is that of the copy")]
+#[test_case(Read { followed: Duration::from_mins(1), number: 22, slots: 7, in_force: 8 }; "a number between two reads may be that of the copy")]
+#[test_case(Read { followed: Duration::from_secs(5), number: 12, slots: 7, in_force: 8 }; "a copy may be older than what the host has seen")]
+fn content_is_ordered_by_what_the_host_saw(case: Read) {
+    let slots = |version, slots| {
+        let mut fact = listed(version, "x", false);
+        if let Item::Backend(_, Some(backend)) = &mut fact.item {
+            backend.slots = slots;
+        }
+        fact
+    };
+    let mut host = Replica::default();
+    let start = Instant::ZERO;
+    let end = start + case.followed;
+    for (at, after, up_to, facts) in [
+        (start, 4, 5, vec![slots(SECOND.version(5), 9)]),
+        (end, 5, 20, Vec::new()),
+        (end, 20, 30, vec![slots(SECOND.version(30), 8)]),
+    ] {
+        let update = Update {
+            after: SECOND.version(after),
+            up_to: SECOND.version(up_to),
+            facts,
+        };
+        host.apply_store_update(at, Subject::Servers, update, at);
+    }
+    let third = Era(2);
+    let row = slots(third.version(case.number), case.slots);
+    host.replace(end, Subject::Servers, third.version(25), vec![row]);
+    assert_eq!(serials(&host).get("x"), Some(&case.in_force));
+}
+
 /// Guards against a row that stays at one host for ever, because no other host knew it.
 #[test]
 fn a_host_that_learns_of_an_era_from_another_gets_all_rows() {
--- a/crates/entry/src/process/replica/update.rs
+++ b/crates/entry/src/process/replica/update.rs
@@ -2,6 +2,7 @@
 
 use super::{Change, Replica, subject_of};
 use crate::{
+    era::Era,
     model::{Fact, Item},
     platform::Subject,
 };
@@ -76,12 +77,14 @@
         subject: Subject,
         update: Update,
     ) -> Option<Vec<Change>> {
-        let freshness = self.freshness_mut(subject)?;
+        let freshness = *self.freshness_mut(subject)?;
         if freshness.version < update.after || freshness.version >= update.up_to {
             return None;
         }
-        freshness.version = update.up_to;
-        Some(self.apply(now, update.facts))
+        let changes = self.apply(now, update.facts);
+        self.advance(subject, update.up_to);
+        self.eras.see(now, update.up_to);
+        Some(changes)
     }
 
     /// Returns the most recent changes of a subject, at most `facts` of them.
@@ -120,9 +123,11 @@
 
     /// Returns all changes after a version of the store.
     ///
-    /// Returns all rows, with `after` 0, if removals since then may have been pruned.
+    /// Returns all rows, with `after` 0, if removals since then may have been pruned, or if the
+    /// version is of an earlier era: rows that the store lost and nobody else knew are not changes.
     pub fn update_since(&self, subject: Subject, version: u64) -> Update {
-        let after = if version < self.removals_kept_after {
+        let is_earlier = Era::of(version) < Era::of(self.freshness(subject).version);
+        let after = if version < self.removals_kept_after || is_earlier {
             0
         } else {
             version
