fix(entry): an answer without an id on a reused connection may belong to the request before

Callers: a request that may run once ran at two servers, and its caller was told 503. Cause: a faulty server wrote an earlier refusal once more; the id tells such an answer from the own one, but an answer without an id was taken for the own one on any connection. Change: on a connection that carried another request, an answer without an id counts as that to another request: the request may have run, the connection closes. Evidence: contract::stray, three of four cases of a_refusal_that_is_written_twice_declines_one_request failed (two runs of a request, answered 503) and pass; with the id of the earlier request it passed before. an_answer_that_ends_early_does_not_look_complete, which stops a server after each byte of its answer in three framings, passed at once: that report does not happen here.

--- a/crates/entry/src/request/attempt.rs
+++ b/crates/entry/src/request/attempt.rs
@@ -279,7 +279,9 @@
     observe_leaving(state, target, &response);
     let request_id = job.headers.get(&protocol.request_id);
     let echoed_id = response.headers().get(&protocol.request_id);
-    if echoed_id.is_some() && echoed_id != request_id {
+    // Without an id, the answer may be that to the request which the connection carried before.
+    let belongs = echoed_id.map_or(!lease.reused, |id| Some(id) == request_id);
+    if !belongs {
         // Answer to an earlier request, sent at an unknown time.
         observe_limit(state, target, &response, Instant::ZERO);
         return Exchanged::Mismatched;
