fix(entry): a stopping host answers all that it has passed on, and takes once-only requests only if they fit

Callers: requests that came late in the grace period of a planned stop were passed on to slow servers and cut off at its end without an answer, among them such as may run once only. Change: a request that may run once is accepted only if its whole time fits. Deadlines of requests that arrive during a stop end with it; 0.3 s before the process ends all that still run get their final answers (504, or 502 with leaving).

--- a/crates/entry/src/process/entry.rs
+++ b/crates/entry/src/process/entry.rs
@@ -18,7 +18,13 @@
 use slog::{info, warn};
 use snafu::{ResultExt, Snafu};
 use std::{collections::BTreeSet, io, net::SocketAddr, sync::Arc, time::Duration};
-use tokio::{net::TcpListener, select, sync::watch, task::JoinHandle, time::sleep};
+use tokio::{
+    net::TcpListener,
+    select,
+    sync::watch,
+    task::JoinHandle,
+    time::{sleep, timeout},
+};
 use tokio_util::sync::CancellationToken;
 
 /// Pause between two tries to write this host's row and to read those of the others.
@@ -31,6 +37,8 @@
 const ACCEPT_SHARE: f64 = 0.78;
 /// Part of the grace period that is kept for the exit of the process.
 const EXIT_RESERVE: Duration = Duration::from_millis(150);
+/// Part before it in which requests that are given up get their answers.
+const ANSWER_RESERVE: Duration = Duration::from_millis(150);
 
 /// Result of starting a host.
 pub type Result<T, E = Error> = std::result::Result<T, E>;
@@ -143,17 +151,19 @@
             stop,
         } = self;
         info!(state.log(), "entry: stopping");
-        let grace = state.setting().bounds.grace.saturating_sub(EXIT_RESERVE);
+        let grace = state.setting().bounds.grace;
+        let grace = grace.saturating_sub(EXIT_RESERVE + ANSWER_RESERVE);
         // `shut_down` consumes the host, so the cell is set only once.
         let _ = state.stop.set((state.now() + grace, grace));
         let open = grace.mul_f64(ACCEPT_SHARE);
         sleep(open).await;
         stop_callers.cancel();
-        select! {
-            _ = &mut callers => {}
-            () = sleep(grace.saturating_sub(open)) => {
-                warn!(state.log(), "entry: grace period over, running requests aborted";
-                    "in-flight" => state.metrics.in_flight.get());
+        let ended = timeout(grace.saturating_sub(open), &mut callers).await;
+        if ended.is_err() {
+            warn!(state.log(), "entry: grace period over, running requests aborted";
+                "in-flight" => state.metrics.in_flight.get());
+            state.cutoff.cancel();
+            if timeout(ANSWER_RESERVE, &mut callers).await.is_err() {
                 callers.abort();
             }
         }
--- a/crates/entry/src/process/state.rs
+++ b/crates/entry/src/process/state.rs
@@ -34,6 +34,7 @@
     time::Duration,
 };
 use tokio::sync::Notify;
+use tokio_util::sync::CancellationToken;
 
 /// Time by which a host refuses keys before their last confirmation is `withdrawal-s` old.
 const WITHDRAWAL_MARGIN: Duration = Duration::from_millis(150);
@@ -107,10 +108,12 @@
     pub slew: Mutex<slew::Limiter>,
     /// Other hosts.
     pub membership: Mutex<Membership>,
-    /// Instant at which running requests are aborted, and the grace period until then.
+    /// Instant at which running requests are given up, and the grace period until then.
     ///
     /// Set when a planned stop begins.
     pub stop: OnceLock<(Instant, Duration)>,
+    /// Cancelled at that instant: requests that still run get their final answers.
+    pub cutoff: CancellationToken,
     /// When the addresses of the other hosts were read from the store.
     joined: OnceLock<Instant>,
     /// One bit per subject, set while the last call to the store about it failed.
@@ -155,6 +158,7 @@
             slew: Mutex::default(),
             membership: Mutex::new(membership),
             stop: OnceLock::new(),
+            cutoff: CancellationToken::new(),
             joined: OnceLock::new(),
             failed_subjects: AtomicU8::new(0),
             trusted_keys: AtomicBool::new(false),
--- a/crates/entry/src/request/attempt.rs
+++ b/crates/entry/src/request/attempt.rs
@@ -25,7 +25,7 @@
 use rand::random;
 use slog::info;
 use std::{sync::Arc, time::Duration};
-use tokio::time::timeout;
+use tokio::{select, time::timeout};
 
 /// Multiple of the expected work on an uncached object above which an answer counts as slow.
 ///
@@ -86,6 +86,8 @@
     Unsent(pool::Error),
     /// No usable answer arrived, and the request may have run; the text says why.
     Lost(&'static str),
+    /// This host stops before an answer arrives.
+    Stopped,
 }
 
 /// Send under way, recorded as abandoned if it is dropped before its end.
@@ -448,5 +450,8 @@
     target: &Target,
 ) -> Option<Ending> {
     let left = job.deadline.since(state.now());
-    timeout(left, send(state, job, target)).await.ok()
+    select! {
+        ending = timeout(left, send(state, job, target)) => ending.ok(),
+        () = state.cutoff.cancelled() => Some(Ending::Stopped),
+    }
 }
--- a/crates/entry/src/request/forward.rs
+++ b/crates/entry/src/request/forward.rs
@@ -165,6 +165,9 @@
     pub(crate) async fn run(&self) -> Outcome {
         let mut attempts = Attempts::default();
         loop {
+            if self.state.cutoff.is_cancelled() {
+                return attempts.refuse(Reason::Leaving, retry_after(Duration::ZERO));
+            }
             let target = match self.choose_next(&mut attempts) {
                 Next::Send(target) => target,
                 Next::Refuse(reason, wait) => return attempts.refuse(reason, wait),
@@ -200,6 +203,10 @@
                 attempts.runs += 1;
                 Some(attempts.give_up(Reason::Timeout))
             }
+            Some(Ending::Stopped) => {
+                attempts.runs += 1;
+                Some(attempts.give_up(Reason::Leaving))
+            }
             Some(Ending::Answered(response)) => {
                 self.observe_size(&response);
                 self.on_answer(attempts, response)
@@ -449,6 +456,7 @@
         Some(Ending::NotRun(_)) => "declined",
         Some(Ending::Unsent(_)) => "unreachable",
         Some(Ending::Lost(reason)) => reason,
+        Some(Ending::Stopped) => "stopped",
     }
 }
 
--- a/crates/entry/src/request/handler.rs
+++ b/crates/entry/src/request/handler.rs
@@ -132,7 +132,7 @@
         let protocol = self.state.dependencies.format.protocol();
         let caller_timeout = head::caller_timeout(request.headers(), protocol);
         let timeout = caller_timeout.map_or(route.timeout, |it| it.min(route.timeout));
-        if !self.ends_before_stop(timeout) {
+        if !self.ends_before_stop(timeout, route.kind.is_repeatable()) {
             let wait = admission::retry_after(Duration::ZERO, random());
             return refuse(StatusCode::SERVICE_UNAVAILABLE, Reason::Leaving, wait);
         }
@@ -148,7 +148,9 @@
             return outcome;
         }
         let (parts, body) = request.into_parts();
+        let cutoff = self.state.stop.get().map(|(cutoff, _)| *cutoff);
         let deadline = self.arrived + timeout;
+        let deadline = cutoff.map_or(deadline, |cutoff| deadline.min(cutoff));
         let limit = catalog.limits.body_bytes.min(self.max_body_bytes());
         // The memory stays reserved until the request has ended.
         let mut reservation = Reservation::new(&self.state.memory);
@@ -184,12 +186,12 @@
     }
 
     /// Returns whether a request that may run for `max_duration` ends before the host stops.
-    fn ends_before_stop(&self, max_duration: Duration) -> bool {
+    fn ends_before_stop(&self, max_duration: Duration, repeatable: bool) -> bool {
         let Some((cutoff, grace)) = self.state.stop.get() else {
             return true;
         };
         let left = cutoff.since(self.arrived);
-        admission::ends_before_stop(max_duration, left, *grace)
+        admission::ends_before_stop(max_duration, repeatable, left, *grace)
     }
 
     /// Returns the quota token of a request that was admitted but did not run.
