--- a/crates/entry/src/process/replica/conflict.rs
+++ b/crates/entry/src/process/replica/conflict.rs
@@ -38,7 +38,7 @@
 }
 
 impl Replica {
-    /// Returns the decisions since the last call, at most [`MAX_CONFLICTS`].
+    /// Returns the decisions since the last call, at most `MAX_CONFLICTS`.
     pub fn take_conflicts(&mut self) -> Vec<Conflict> {
         self.conflicts.drain(..).collect()
     }
