feat(entry): logs and metrics tell why a host follows the store and how old its changes are

Cause: a takeover of the store's reader, calls that failed after the first, the age of changes and requests between hosts left no trace, so that the hypotheses about DRAIN could not be told apart. Change: a line when a host begins or ends to follow the store, with the reason; a line for each failed call; the longest possible age of a change in its line and as a histogram; a counter of requests between hosts. Origins of changes are a type.

--- a/crates/entry/src/process/change.rs
+++ b/crates/entry/src/process/change.rs
@@ -15,6 +15,7 @@
     id::{DataCentre, Service},
     time::Instant,
 };
+use derive_more::Display;
 use slog::info;
 use std::{sync::Arc, time::Duration};
 
@@ -23,23 +24,78 @@
 /// Share of the drain bound in which a leaving server may get requests that no other can take.
 const LAST_RESORT_SHARE: f64 = 0.8;
 
+/// Where a host got a change from.
+///
+/// The displayed names are labels of metrics and fields of log lines.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum Origin {
+    /// The platform's store.
+    #[display("store")]
+    Store,
+    /// Another host.
+    #[display("peer")]
+    Peer,
+    /// The host's own replica, whose rows are applied again.
+    #[display("memory")]
+    Memory,
+}
+
+/// Origin of changes, and when they were unknown for certain.
+#[derive(Debug, Clone, Copy)]
+pub struct Source {
+    /// Where they came from.
+    pub origin: Origin,
+    /// Last time at which the store had none of them; `None` if there was none.
+    pub confirmed: Option<Instant>,
+}
+
+impl From<Origin> for Source {
+    fn from(origin: Origin) -> Self {
+        Self {
+            origin,
+            confirmed: None,
+        }
+    }
+}
+
 impl State {
-    /// Applies changes of the platform's rows; `source` says in log lines where they came from.
-    pub fn apply(&self, changes: Vec<Change>, source: &str) {
+    /// Applies changes of the platform's rows.
+    pub fn apply(&self, changes: Vec<Change>, source: impl Into<Source>) {
         let now = self.now();
+        let source = source.into();
         for change in changes {
+            self.observe_age(now, &change, source);
             self.apply_change(now, change, source);
         }
     }
 
-    fn apply_change(&self, now: Instant, change: Change, source: &str) {
+    /// Records the longest time for which the store may have had the change.
+    fn observe_age(&self, now: Instant, change: &Change, source: Source) {
+        let kind = match change {
+            Change::Config(_) => "configuration",
+            Change::Evacuation(..) => "evacuation",
+            Change::Unlisted(..) => "departure",
+            Change::Listed(_, backend) if backend.draining => "departure",
+            Change::Listed(..) => "server",
+            Change::Move(..) | Change::Outcome(..) | Change::Peer(_) => return,
+        };
+        if let Some(confirmed) = source.confirmed {
+            let origin = source.origin.to_string();
+            self.metrics
+                .observe_change_age(kind, &origin, now.since(confirmed));
+        }
+    }
+
+    fn apply_change(&self, now: Instant, change: Change, source: Source) {
         let log = self.log();
+        let age = source.confirmed.map(|at| now.since(at).as_millis() as u64);
+        let source = source.origin;
         match change {
             Change::Config(config) => self.adopt_config(now, &config, source),
             Change::Move(service, version, order) => {
                 let to = order.as_ref().map(|order| order.to.to_string());
                 info!(log, "orders: move order received"; "service" => %service, "to" => ?to,
-                    "source" => source);
+                    "source" => %source);
                 let exposure = self.setting().bounds.exposure;
                 let clock = self.replica.lock().clock(now);
                 if let Some(fleet) = self.fleets.lock().get_mut(&service) {
@@ -50,7 +106,7 @@
             Change::Outcome(service, version, outcome) => {
                 let state = outcome.as_ref().map(|outcome| outcome.state);
                 info!(log, "orders: move state received"; "service" => %service, "state" => ?state,
-                    "source" => source);
+                    "source" => %source);
                 let clock = self.replica.lock().clock(now);
                 if let Some(fleet) = self.fleets.lock().get_mut(&service) {
                     fleet.set_outcome(version, outcome.as_ref());
@@ -59,13 +115,14 @@
             }
             Change::Evacuation(centre, on) => {
                 info!(log, "orders: evacuation order received"; "data-centre" => %centre,
-                    "on" => on, "source" => source);
+                    "on" => on, "max-age-ms" => age, "source" => %source);
                 self.evacuate(now, &centre, on);
             }
             Change::Listed(server, backend) => {
                 info!(log, "servers: server added or updated"; "server" => %server,
                     "service" => %backend.service, "draining" => backend.draining,
-                    "cold-ms" => backend.cold.as_millis() as u64, "source" => source);
+                    "cold-ms" => backend.cold.as_millis() as u64, "max-age-ms" => age,
+                    "source" => %source);
                 let evacuated = self.replica.lock().is_evacuated(&backend.data_centre);
                 if !evacuated && let Some(fleet) = self.fleets.lock().get_mut(&backend.service) {
                     fleet.insert(now, &self.location.load(), &server, &backend);
@@ -79,7 +136,7 @@
                     self.slew.lock().suspend(now);
                 }
                 info!(log, "servers: server removed"; "server" => %server, "service" => %service,
-                    "source" => source);
+                    "max-age-ms" => age, "source" => %source);
                 if let Some(fleet) = self.fleets.lock().get_mut(&service) {
                     fleet.remove(&server);
                 }
@@ -99,12 +156,12 @@
         }
     }
 
-    fn adopt_config(&self, now: Instant, config: &Config, source: &str) {
+    fn adopt_config(&self, now: Instant, config: &Config, source: Origin) {
         let services = self.adopt_services(now, config);
         self.adopt_contracts(now, config);
         self.catalog.store(Some(Arc::new(Catalog::new(config))));
         info!(self.log(), "configuration: adopted"; "version" => config.version,
-            "routes" => config.routes.len(), "services" => services, "source" => source);
+            "routes" => config.routes.len(), "services" => services, "source" => %source);
     }
 
     fn adopt_services(&self, now: Instant, config: &Config) -> usize {
@@ -133,7 +190,7 @@
     pub(super) fn reapply(&self, now: Instant) {
         let changes = self.replica.lock().known_as_changes();
         for change in changes {
-            self.apply_change(now, change, "memory");
+            self.apply_change(now, change, Origin::Memory.into());
         }
     }
 
--- a/crates/entry/src/process/entry.rs
+++ b/crates/entry/src/process/entry.rs
@@ -6,6 +6,7 @@
     model::Peer,
     platform::Subject,
     process::{
+        change::Origin,
         control::{self, Purpose},
         feed,
         gossip::Gossip,
@@ -210,7 +211,7 @@
                     state.metrics.count_store_call("hosts", "ok");
                     let now = state.now();
                     let changes = state.replica.lock().apply(now, batch.facts);
-                    state.apply(changes, "store");
+                    state.apply(changes, Origin::Store);
                     state.record_join(state.now());
                     // The other hosts learn of this one, and answer.
                     state.gossip_wakeup.notify_one();
--- a/crates/entry/src/process/feed.rs
+++ b/crates/entry/src/process/feed.rs
@@ -3,8 +3,14 @@
 use crate::{
     era::Era,
     platform::{Error, Result, Subject},
-    process::{replica::Update, state::State},
+    process::{
+        change::{Origin, Source},
+        replica::Update,
+        state::State,
+    },
 };
+use azurenotch_wire::time::Instant;
+use derive_more::Display;
 use rand::random_range;
 use slog::{info, warn};
 use std::{sync::Arc, time::Duration};
@@ -39,6 +45,7 @@
         needs_full_read: true,
         backoff: MIN_BACKOFF,
         connected: false,
+        reason: None,
     };
     select! {
         () = stop.cancelled() => {}
@@ -56,12 +63,30 @@
     backoff: Duration,
     /// Whether the store answered the last call; false before the first one.
     connected: bool,
+    /// Why this host followed the store in the last check; `None` if it did not.
+    reason: Option<Reason>,
+}
+
+/// Why a host follows the store.
+///
+/// The displayed names are fields of log lines.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+enum Reason {
+    /// It does so for the other hosts.
+    #[display("elected")]
+    Elected,
+    /// No host has confirmed its rows for too long.
+    #[display("confirmation-age")]
+    ConfirmationAge,
+    /// It holds rows that the store has lost.
+    #[display("held-rows")]
+    HeldRows,
 }
 
 impl Feed {
     async fn follow(&mut self) {
         loop {
-            if !self.is_needed() {
+            if !self.check_role() {
                 sleep(FOLLOW_CHECK_INTERVAL).await;
                 continue;
             }
@@ -103,7 +128,8 @@
         let mut replica = self.state.replica.lock();
         let now = self.state.now();
         replica.set_clock(now, batch.clock);
-        let former = replica.freshness(self.subject).version;
+        let known = replica.freshness(self.subject);
+        let former = known.version;
         let changes = replica.replace(now, self.subject, batch.version, batch.facts);
         let era = Era::of(batch.version);
         if former != 0 && Era::of(former) < era {
@@ -114,7 +140,7 @@
         replica.confirm(self.subject, batch.version, start);
         drop(replica);
         self.needs_full_read = false;
-        self.state.apply(changes, "store");
+        self.state.apply(changes, store_source(known.confirmed));
         self.state.gossip_wakeup.notify_one();
         Ok(())
     }
@@ -143,30 +169,48 @@
         };
         let mut replica = self.state.replica.lock();
         replica.set_clock(end, batch.clock);
+        let confirmed = replica.freshness(self.subject).confirmed;
         let changes = replica.apply_store_update(end, self.subject, update, at);
         drop(replica);
         if !changes.is_empty() {
-            self.state.apply(changes, "store");
+            self.state.apply(changes, store_source(confirmed));
             self.state.gossip_wakeup.notify_one();
         }
         Ok(())
     }
 
-    /// Returns whether this host has to follow the store.
-    ///
-    /// It does so for other hosts, or because their updates no longer reach it.
-    fn is_needed(&self) -> bool {
+    /// Returns whether this host has to follow the store, and logs when that changes.
+    fn check_role(&mut self) -> bool {
         let now = self.state.now();
-        let freshness = self.state.replica.lock().freshness(self.subject);
-        if freshness.confirmed.is_none() && self.state.awaits_first_read(now) {
-            return self.state.knows_others(now) && self.state.follows_store(now);
+        let confirmed = self.state.replica.lock().freshness(self.subject).confirmed;
+        let reason = self.reason_to_follow(now, confirmed);
+        if self.reason != reason {
+            self.reason = reason;
+            let age = confirmed.map(|at| now.since(at).as_millis() as u64);
+            let reason_name = reason.map(|reason| reason.to_string());
+            info!(self.state.log(), "feed: role changed"; "subject" => %self.subject,
+                "follows" => reason.is_some(), "reason" => reason_name, "age-ms" => age);
+            let name = self.subject.to_string();
+            self.state.metrics.set_follows(&name, reason.is_some());
+        }
+        reason.is_some()
+    }
+
+    /// Returns why this host has to follow the store; `None` if it relies on others.
+    fn reason_to_follow(&self, now: Instant, confirmed: Option<Instant>) -> Option<Reason> {
+        if confirmed.is_none() && self.state.awaits_first_read(now) {
+            let elected = self.state.knows_others(now) && self.state.follows_store(now);
+            return elected.then_some(Reason::Elected);
+        }
+        if self.state.follows_store(now) {
+            return Some(Reason::Elected);
+        }
+        if confirmed.is_none_or(|at| now.since(at) > MAX_CONFIRMATION_AGE) {
+            return Some(Reason::ConfirmationAge);
         }
-        let late = freshness
-            .confirmed
-            .is_none_or(|at| now.since(at) > MAX_CONFIRMATION_AGE);
         // Only a host that has read the store knows which rows it has to read again.
         let holds = self.state.replica.lock().has_holds(self.subject);
-        late || holds || self.state.follows_store(now)
+        holds.then_some(Reason::HeldRows)
     }
 
     fn log_unusable(&self, unusable: &[(String, String)]) {
@@ -185,10 +229,10 @@
     }
 
     async fn record_failure(&mut self, error: &Error) {
+        warn!(self.state.log(), "feed: store reads failing"; "subject" => %self.subject,
+            "first" => self.connected, "error" => %error);
         if self.connected {
             self.connected = false;
-            warn!(self.state.log(), "feed: store reads failing"; "subject" => %self.subject,
-                "error" => %error);
             self.state.slew.lock().suspend(self.state.now());
         }
         // Jitter keeps hosts that lost the store together from retrying together.
@@ -202,3 +246,11 @@
         self.backoff = (2 * self.backoff).min(max_backoff);
     }
 }
+
+/// Returns the source of changes that the store returned, of rows last confirmed at `confirmed`.
+fn store_source(confirmed: Option<Instant>) -> Source {
+    Source {
+        origin: Origin::Store,
+        confirmed,
+    }
+}
--- a/crates/entry/src/process/gossip/inbound.rs
+++ b/crates/entry/src/process/gossip/inbound.rs
@@ -5,6 +5,7 @@
     model::Fact,
     platform::Subject,
     process::{
+        change::{Origin, Source},
         message::{self, Datagram, FreshnessReport},
         replica::Update,
     },
@@ -183,21 +184,23 @@
 
     fn receive_updates(&self, updates: Option<[Update; 2]>) {
         let now = self.state.now();
-        let mut changes = Vec::new();
+        let mut applied = Vec::new();
         let mut replica = self.state.replica.lock();
         for (subject, update) in UPDATE_SUBJECTS
             .into_iter()
             .zip(updates.into_iter().flatten())
         {
-            changes.extend(
-                replica
-                    .apply_peer_update(now, subject, update)
-                    .into_iter()
-                    .flatten(),
-            );
+            let source = Source {
+                origin: Origin::Peer,
+                confirmed: replica.freshness(subject).confirmed,
+            };
+            let changes = replica.apply_peer_update(now, subject, update);
+            applied.extend(changes.map(|changes| (changes, source)));
         }
         drop(replica);
-        self.state.apply(changes, "peer");
+        for (changes, source) in applied {
+            self.state.apply(changes, source);
+        }
     }
 
     /// Applies states of version moves, so that hosts that do not write them need not read them, and
@@ -208,7 +211,7 @@
         }
         let now = self.state.now();
         let changes = self.state.replica.lock().apply(now, facts);
-        self.state.apply(changes, "peer");
+        self.state.apply(changes, Origin::Peer);
     }
 
     fn receive_leaving(&self, now: Instant, leaving: &[(u32, u64)]) {
--- a/crates/entry/src/process/metrics.rs
+++ b/crates/entry/src/process/metrics.rs
@@ -9,6 +9,9 @@
 /// Upper bounds of the latency buckets in seconds.
 const LATENCY_BUCKETS: [f64; 10] = [0.01, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2.0, 5.0];
 
+/// Upper bounds of the buckets of the age of changes, in seconds.
+const AGE_BUCKETS: [f64; 10] = [0.1, 0.25, 0.5, 0.75, 1.0, 1.5, 2.0, 2.5, 3.0, 5.0];
+
 /// Prometheus metrics of an entry host.
 #[derive(Debug)]
 pub struct Metrics {
@@ -17,6 +20,9 @@
     attempts: IntCounterVec,
     latency: HistogramVec,
     store: IntCounterVec,
+    follows: IntGaugeVec,
+    relays: IntCounterVec,
+    change_age: HistogramVec,
     accepted: IntCounterVec,
     server_limits: IntCounterVec,
     limited_sends: IntCounterVec,
@@ -102,6 +108,17 @@
                 "Statements of backend servers about their limit, by service and event",
                 &["service", "event"],
             )?,
+            follows: gauges(
+                "azurenotch_entry_follows_store",
+                "Whether this host follows a subject's changes at the store",
+                &["subject"],
+            )?,
+            relays: vector(
+                "azurenotch_entry_relay_requests_total",
+                "Requests to other hosts for their newer rows, by result",
+                &["result"],
+            )?,
+            change_age: change_age(&registry)?,
             store: vector(
                 "azurenotch_entry_store_calls_total",
                 "Calls to the platform's store by subject and result",
@@ -193,6 +210,24 @@
         self.store.with_label_values(&[subject, result]).inc();
     }
 
+    /// Sets whether this host follows a subject's changes at the store.
+    pub fn set_follows(&self, subject: &str, follows: bool) {
+        let follows = i64::from(follows);
+        self.follows.with_label_values(&[subject]).set(follows);
+    }
+
+    /// Counts a request to another host for its newer rows.
+    pub fn count_relay(&self, result: &str) {
+        self.relays.with_label_values(&[result]).inc();
+    }
+
+    /// Records the longest time for which the store may have had a change that was applied now.
+    pub fn observe_change_age(&self, kind: &str, origin: &str, age: Duration) {
+        self.change_age
+            .with_label_values(&[kind, origin])
+            .observe(age.as_secs_f64());
+    }
+
     /// Sets the era of the store, the number of rows that it has lost, and the age of the keys.
     pub fn set_store(&self, era: u16, held_rows: usize, keys_age: Option<Duration>) {
         self.store_era.set(era.into());
@@ -222,6 +257,18 @@
     Ok(latency)
 }
 
+/// Creates and registers the histogram of the age of changes.
+fn change_age(registry: &Registry) -> Result<HistogramVec, Error> {
+    let options = HistogramOpts::new(
+        "azurenotch_entry_change_age_seconds",
+        "Longest time for which the store may have had a change when this host applied it",
+    );
+    let options = options.buckets(AGE_BUCKETS.to_vec());
+    let change_age = HistogramVec::new(options, &["kind", "source"])?;
+    registry.register(Box::new(change_age.clone()))?;
+    Ok(change_age)
+}
+
 /// Digits of a status code, formatted without an allocation per answer.
 struct Digits([u8; 3]);
 
--- a/crates/entry/src/process/move_state.rs
+++ b/crates/entry/src/process/move_state.rs
@@ -3,7 +3,7 @@
 use crate::{
     model::{Outcome, Progress},
     platform::{Error, Subject},
-    process::state::State,
+    process::{change::Origin, state::State},
 };
 use azurenotch_core::process::election;
 use azurenotch_wire::{evidence::Pair, id::Service, time::Instant};
@@ -174,7 +174,7 @@
             replica.set_clock(now, batch.clock);
             let changes = replica.replace(now, Subject::Outcomes, batch.version, batch.facts);
             drop(replica);
-            state.apply(changes, "store");
+            state.apply(changes, Origin::Store);
             true
         }
         Err(error) => {
--- a/crates/entry/src/process/relay.rs
+++ b/crates/entry/src/process/relay.rs
@@ -5,9 +5,10 @@
 use crate::{
     platform::Subject,
     process::{
+        change::{Origin, Source},
         control::status,
         gossip::NewerPeer,
-        replica::{Change, Replica, Update},
+        replica::{Change, Freshness, Replica, Update},
         state::State,
     },
 };
@@ -109,15 +110,22 @@
         let newer_peer = newer_peers.borrow_and_update().clone();
         if let Some(newer_peer) = newer_peer {
             match request(&state, newer_peer.address).await {
-                Ok(answer) => apply_answer(&state, newer_peer.address, answer),
+                Ok(answer) => {
+                    state.metrics.count_relay("answered");
+                    apply_answer(&state, newer_peer.address, answer);
+                }
                 Err(error @ Error::Busy { .. }) => {
+                    state.metrics.count_relay("busy");
                     debug!(state.log(), "relay: peer is busy"; "from" => %newer_peer.address,
                         "error" => %error);
                     // Tries again after the pause, by then perhaps at a host that was served.
                     newer_peers.mark_changed();
                 }
-                Err(error) => warn!(state.log(), "relay: request to peer failed";
-                    "from" => %newer_peer.address, "error" => %error),
+                Err(error) => {
+                    state.metrics.count_relay("failed");
+                    warn!(state.log(), "relay: request to peer failed";
+                        "from" => %newer_peer.address, "error" => %error);
+                }
             }
         }
         tokio::time::sleep(REQUEST_PAUSE).await;
@@ -127,7 +135,10 @@
 fn apply_answer(state: &State, from: SocketAddr, answer: Answer) {
     let mut changes = Vec::new();
     let mut replica = state.replica.lock();
-    let before = replica.freshness(Subject::Orders).version;
+    let Freshness {
+        version: before,
+        confirmed,
+    } = replica.freshness(Subject::Orders);
     let now = state.now();
     for (subject, update) in RELAYED_SUBJECTS.into_iter().zip(answer.updates) {
         // The states of moves have no freshness of their own; they follow that of the orders.
@@ -142,7 +153,11 @@
         info!(state.log(), "relay: received changes from peer"; "from" => %from,
             "changes" => changes.len());
     }
-    state.apply(changes, "peer");
+    let source = Source {
+        origin: Origin::Peer,
+        confirmed,
+    };
+    state.apply(changes, source);
 }
 
 fn apply_update(
