--- a/crates/entry/src/process/metrics.rs
+++ b/crates/entry/src/process/metrics.rs
@@ -2,7 +2,7 @@
 
 use prometheus::{
     Error, Gauge, GaugeVec, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec,
-    Opts, Registry, TextEncoder,
+    Opts, Registry, TextEncoder, core::Collector,
 };
 use std::time::Duration;
 
@@ -48,109 +48,96 @@
     /// Fails if two metrics have the same name, which is a programming error.
     pub fn new() -> Result<Self, Error> {
         let registry = Registry::new();
-        let vector = |name: &str, help: &str, labels: &[&str]| {
-            let counter = IntCounterVec::new(Opts::new(name, help), labels)?;
-            registry.register(Box::new(counter.clone()))?;
-            Ok::<_, Error>(counter)
-        };
-        let gauge = |name: &str, help: &str| {
-            let gauge = IntGauge::new(name, help)?;
-            registry.register(Box::new(gauge.clone()))?;
-            Ok::<_, Error>(gauge)
-        };
-        let gauges = |name: &str, help: &str, labels: &[&str]| {
-            let gauges = IntGaugeVec::new(Opts::new(name, help), labels)?;
-            registry.register(Box::new(gauges.clone()))?;
-            Ok::<_, Error>(gauges)
-        };
-        let limit_part = GaugeVec::new(
-            Opts::new(
-                "azurenotch_entry_limit_part",
-                "Requests per second that this host may send to limited servers, by service",
-            ),
-            &["service"],
-        )?;
-        registry.register(Box::new(limit_part.clone()))?;
-        let seconds = |name: &str, help: &str| {
-            let gauge = Gauge::new(name, help)?;
-            registry.register(Box::new(gauge.clone()))?;
-            Ok::<_, Error>(gauge)
-        };
+        let new = Factory(&registry);
         Ok(Self {
-            answers: vector(
+            answers: new.counters(
                 "azurenotch_entry_answers_total",
                 "Answers by route, status and reason",
                 &["route", "status", "reason"],
             )?,
-            attempts: vector(
+            attempts: new.counters(
                 "azurenotch_entry_attempts_total",
                 "Sends to backend servers by service and ending",
                 &["service", "ending"],
             )?,
-            accepted: vector(
+            accepted: new.counters(
                 "azurenotch_entry_accepted_connections_total",
                 "New connections by port and what became of them",
                 &["port", "decision"],
             )?,
-            limited_sends: vector(
+            limited_sends: new.counters(
                 "azurenotch_entry_limited_sends_total",
                 "Sends to backend servers that have named a limit, by service",
                 &["service"],
             )?,
-            limited_servers: gauges(
+            limited_servers: new.gauges(
                 "azurenotch_entry_limited_servers",
                 "Backend servers that have named a limit, by service",
                 &["service"],
             )?,
-            limit_part,
-            server_limits: vector(
+            limit_part: new.numbers(
+                "azurenotch_entry_limit_part",
+                "Requests per second that this host may send to limited servers, by service",
+                &["service"],
+            )?,
+            server_limits: new.counters(
                 "azurenotch_entry_server_limits_total",
                 "Statements of backend servers about their limit, by service and event",
                 &["service", "event"],
             )?,
-            follows: gauges(
+            follows: new.gauges(
                 "azurenotch_entry_follows_store",
                 "Whether this host follows a subject's changes at the store",
                 &["subject"],
             )?,
-            relays: vector(
+            relays: new.counters(
                 "azurenotch_entry_relay_requests_total",
                 "Requests to other hosts for their newer rows, by result",
                 &["result"],
             )?,
-            change_age: change_age(&registry)?,
-            store: vector(
+            change_age: new.histogram(
+                "azurenotch_entry_change_age_seconds",
+                "Longest time for which the store may have had a change when this host applied it",
+                &["kind", "source"],
+                &AGE_BUCKETS,
+            )?,
+            store: new.counters(
                 "azurenotch_entry_store_calls_total",
                 "Calls to the platform's store by subject and result",
                 &["subject", "result"],
             )?,
-            in_flight: gauge("azurenotch_entry_in_flight", "Requests that have not ended")?,
-            connections: gauge(
+            in_flight: new.gauge("azurenotch_entry_in_flight", "Requests that have not ended")?,
+            connections: new.gauge(
                 "azurenotch_entry_connections",
                 "Open connections of callers",
             )?,
-            connection_limit: gauges(
+            connection_limit: new.gauges(
                 "azurenotch_entry_connection_limit",
                 "Connections above which idle ones are closed for new ones, by port",
                 &["port"],
             )?,
-            store_era: gauge(
+            store_era: new.gauge(
                 "azurenotch_entry_store_era",
                 "Era of the store in which its rows were last read",
             )?,
-            held_rows: gauge(
+            held_rows: new.gauge(
                 "azurenotch_entry_held_rows",
                 "Rows in force that the store has lost or has in another form",
             )?,
-            keys_age: seconds(
+            keys_age: new.number(
                 "azurenotch_entry_keys_age_seconds",
                 "Time since the keys were last confirmed",
             )?,
-            lag: seconds(
+            lag: new.number(
                 "azurenotch_entry_lag_seconds",
                 "Time by which tasks last ran late",
             )?,
-            latency: latency(&registry)?,
+            latency: new.histogram(
+                "azurenotch_entry_latency_seconds",
+                "Time from the header of a request to that of its answer",
+                &["route"],
+                &LATENCY_BUCKETS,
+            )?,
             registry,
         })
     }
@@ -246,27 +233,46 @@
     }
 }
 
-/// Creates and registers the histogram of latencies.
-fn latency(registry: &Registry) -> Result<HistogramVec, Error> {
-    let options = HistogramOpts::new(
-        "azurenotch_entry_latency_seconds",
-        "Time from the header of a request to that of its answer",
-    );
-    let latency = HistogramVec::new(options.buckets(LATENCY_BUCKETS.to_vec()), &["route"])?;
-    registry.register(Box::new(latency.clone()))?;
-    Ok(latency)
-}
+/// Creates metrics and registers them.
+#[derive(Debug)]
+struct Factory<'a>(&'a Registry);
+
+impl Factory<'_> {
+    fn register<T: Collector + Clone + 'static>(&self, metric: T) -> Result<T, Error> {
+        self.0.register(Box::new(metric.clone()))?;
+        Ok(metric)
+    }
 
-/// Creates and registers the histogram of the age of changes.
-fn change_age(registry: &Registry) -> Result<HistogramVec, Error> {
-    let options = HistogramOpts::new(
-        "azurenotch_entry_change_age_seconds",
-        "Longest time for which the store may have had a change when this host applied it",
-    );
-    let options = options.buckets(AGE_BUCKETS.to_vec());
-    let change_age = HistogramVec::new(options, &["kind", "source"])?;
-    registry.register(Box::new(change_age.clone()))?;
-    Ok(change_age)
+    fn counters(&self, name: &str, help: &str, labels: &[&str]) -> Result<IntCounterVec, Error> {
+        self.register(IntCounterVec::new(Opts::new(name, help), labels)?)
+    }
+
+    fn gauge(&self, name: &str, help: &str) -> Result<IntGauge, Error> {
+        self.register(IntGauge::new(name, help)?)
+    }
+
+    fn gauges(&self, name: &str, help: &str, labels: &[&str]) -> Result<IntGaugeVec, Error> {
+        self.register(IntGaugeVec::new(Opts::new(name, help), labels)?)
+    }
+
+    fn number(&self, name: &str, help: &str) -> Result<Gauge, Error> {
+        self.register(Gauge::new(name, help)?)
+    }
+
+    fn numbers(&self, name: &str, help: &str, labels: &[&str]) -> Result<GaugeVec, Error> {
+        self.register(GaugeVec::new(Opts::new(name, help), labels)?)
+    }
+
+    fn histogram(
+        &self,
+        name: &str,
+        help: &str,
+        labels: &[&str],
+        buckets: &[f64],
+    ) -> Result<HistogramVec, Error> {
+        let options = HistogramOpts::new(name, help).buckets(buckets.to_vec());
+        self.register(HistogramVec::new(options, labels)?)
+    }
 }
 
 /// Digits of a status code, formatted without an allocation per answer.
