fix(entry): a departure that a server says in an answer outlives its listing

Callers' requests reached a backend server after it had said that it was leaving, if its row was missing at that moment and returned later for the same process. Cause: the departure was recorded with the listing, and a server without one was passed over. Change: departures are kept by the hash of the name and the process; a host that hears of one from another remembers it for a server that it does not list, and for a process whose listing has not arrived yet.

--- a/crates/core/src/version/placement/absence.rs
+++ b/crates/core/src/version/placement/absence.rs
@@ -1,8 +1,8 @@
 //! Backend servers that say that they are leaving or that they want no requests for a time.
 
-use super::{Backend, Placement, Query};
+use super::{Placement, Query};
 use azurenotch_wire::time::Instant;
-use std::time::Duration;
+use std::{cmp::Ordering, time::Duration};
 
 /// Maximum number of leaving servers that are remembered.
 const MAX_LEAVING: usize = 4096;
@@ -30,18 +30,28 @@
         self.drain = drain;
     }
 
-    /// Records that a server said that it is leaving; returns whether that is new.
-    pub fn announce_leaving(&mut self, now: Instant, index: usize) -> bool {
-        let entry = &mut self.entries[index];
-        if entry.leaving.is_some() || !entry.is_listed() {
+    /// Records that a process of a server said that it is leaving; returns whether that is new.
+    ///
+    /// `server` is the hash of its name. The server may be unlisted: its row may return.
+    pub fn record_leaving(&mut self, now: Instant, server: u32, incarnation: u64) -> bool {
+        let known = self.leaving.get(&server);
+        if known.is_some_and(|it| it.is(now, incarnation) || it.incarnation > incarnation) {
             return false;
         }
-        entry.leaving = Some(now);
+        if let Some(index) = self.index_by_hash.get(&server) {
+            let entry = &mut self.entries[*index];
+            match entry.backend.incarnation.cmp(&incarnation) {
+                Ordering::Greater => return false,
+                Ordering::Equal => entry.leaving = Some(now),
+                // The listing of the process has not arrived yet.
+                Ordering::Less => {}
+            }
+        }
         let leave = Leave {
-            incarnation: entry.backend.incarnation,
+            incarnation,
             since: now,
         };
-        self.leaving.insert(entry.backend.server.clone(), leave);
+        self.leaving.insert(server, leave);
         if self.leaving.len() > MAX_LEAVING {
             let mut ages: Vec<Instant> = self.leaving.values().map(|it| it.since).collect();
             ages.sort_unstable();
@@ -51,20 +61,18 @@
         true
     }
 
-    /// Records what another host heard of the server whose name has the hash `server`.
-    pub fn receive_leaving(&mut self, now: Instant, server: u32, incarnation: u64) -> bool {
-        let index = self.index_by_hash.get(&server).copied();
-        let index = index.filter(|index| self.backend(*index).incarnation == incarnation);
-        index.is_some_and(|index| self.announce_leaving(now, index))
+    /// Returns whether the server whose name has the hash `server` is listed.
+    pub fn lists(&self, server: u32) -> bool {
+        self.index_by_hash.contains_key(&server)
     }
 
-    /// Returns the listed servers that said within `max_age` that they are leaving.
-    pub fn leaving(&self, now: Instant, max_age: Duration) -> impl Iterator<Item = &Backend> {
-        let entries = self.entries.iter().filter(move |entry| {
-            let recent = entry.leaving.is_some_and(|at| now.since(at) < max_age);
-            recent && entry.is_listed()
-        });
-        entries.map(|entry| &entry.backend)
+    /// Returns the servers that said within `max_age` that they are leaving.
+    ///
+    /// They are given as the hash of the name and the incarnation of the process.
+    pub fn leaving(&self, now: Instant, max_age: Duration) -> impl Iterator<Item = (u32, u64)> {
+        let recent = self.leaving.iter();
+        let recent = recent.filter(move |(_, it)| now.since(it.since) < max_age);
+        recent.map(|(server, it)| (*server, it.incarnation))
     }
 
     /// Withholds requests from a server until `until`, as it has asked for.
--- a/crates/core/src/version/placement/mod.rs
+++ b/crates/core/src/version/placement/mod.rs
@@ -144,7 +144,9 @@
     work: Map<u32, Work>,
     cold_per_s: f64,
     /// Processes of servers that said that they are leaving; outlives their listings.
-    leaving: Map<Server, Leave>,
+    ///
+    /// By the hash of the server's name.
+    leaving: Map<u32, Leave>,
     /// Time for which a leaving server may get requests that no other server can take.
     drain: Duration,
     /// Limits of processes of servers that are not listed at present.
@@ -179,7 +181,8 @@
 
     /// Adds a backend server, or updates its listing.
     pub fn insert(&mut self, now: Instant, backend: &Backend) {
-        let leaving = self.leaving.get(&backend.server);
+        let hash = hash32(backend.server.as_str());
+        let leaving = self.leaving.get(&hash);
         let leaving = leaving.filter(|it| it.is(now, backend.incarnation));
         let leaving = leaving.map(|it| it.since);
         if let Some(index) = self.index.get(&backend.server) {
@@ -197,8 +200,7 @@
             None => self.entries.push(entry),
         }
         self.index.insert(backend.server.clone(), index);
-        self.index_by_hash
-            .insert(hash32(backend.server.as_str()), index);
+        self.index_by_hash.insert(hash, index);
     }
 
     /// Removes a backend server; its running requests are not cancelled.
--- a/crates/core/src/version/placement/tests.rs
+++ b/crates/core/src/version/placement/tests.rs
@@ -264,8 +264,8 @@
     let mut placement = placement(2, 0);
     placement.set_drain(DRAIN);
     let leaving = index(&placement, 0);
-    assert!(placement.announce_leaving(Instant::ZERO, leaving));
-    assert!(!placement.announce_leaving(Instant::ZERO, leaving));
+    assert!(placement.record_leaving(Instant::ZERO, hash32("s0"), 1));
+    assert!(!placement.record_leaving(Instant::ZERO, hash32("s0"), 1));
     for object in 0..100 {
         let choice = choose(&mut placement, Instant::ZERO, object);
         assert_ne!(choice.index, leaving);
@@ -276,22 +276,33 @@
     assert!(placement.choose(Instant::ZERO + DRAIN, &query(1)).is_none());
 }
 
-/// What happens to a server after it has said that it is leaving.
+/// What happens to a server, which has a first listing, when one of its processes says that it leaves.
 struct Return {
+    /// Process that says it.
+    said_by: u64,
+    /// Whether the listing lapses before.
+    lapses_before: bool,
+    /// Whether the listing lapses after.
     relisted: bool,
+    /// Process of the next listing.
     incarnation: u64,
     /// Whether it may get requests again.
     usable: bool,
 }
 
-#[test_case(Return { relisted: false, incarnation: 1, usable: false }; "its listing is updated")]
-#[test_case(Return { relisted: true, incarnation: 1, usable: false }; "its listing lapsed and returned")]
-#[test_case(Return { relisted: true, incarnation: 2, usable: true }; "it starts again under its name")]
-#[test_case(Return { relisted: false, incarnation: 2, usable: true }; "it starts again while it is listed")]
+#[test_case(Return { said_by: 1, lapses_before: false, relisted: false, incarnation: 1, usable: false }; "its listing is updated")]
+#[test_case(Return { said_by: 1, lapses_before: false, relisted: true, incarnation: 1, usable: false }; "its listing lapsed and returned")]
+#[test_case(Return { said_by: 1, lapses_before: false, relisted: true, incarnation: 2, usable: true }; "it starts again under its name")]
+#[test_case(Return { said_by: 1, lapses_before: false, relisted: false, incarnation: 2, usable: true }; "it starts again while it is listed")]
+#[test_case(Return { said_by: 1, lapses_before: true, relisted: true, incarnation: 1, usable: false }; "it says so while its listing has lapsed")]
+#[test_case(Return { said_by: 2, lapses_before: false, relisted: false, incarnation: 2, usable: false }; "its next process says so before it is listed")]
+#[test_case(Return { said_by: 1, lapses_before: true, relisted: true, incarnation: 2, usable: true }; "it starts again after its listing has lapsed")]
 fn leaving_belongs_to_the_process_that_said_it(case: Return) {
     let mut placement = placement(1, 0);
-    let leaving = index(&placement, 0);
-    placement.announce_leaving(Instant::ZERO, leaving);
+    if case.lapses_before {
+        placement.remove(&"s0".into());
+    }
+    placement.record_leaving(Instant::ZERO, hash32("s0"), case.said_by);
     if case.relisted {
         placement.remove(&"s0".into());
         // Its place is taken by another server meanwhile.
--- a/crates/entry/src/process/gossip.rs
+++ b/crates/entry/src/process/gossip.rs
@@ -264,7 +264,6 @@
         let leaving = fleets
             .values()
             .flat_map(|fleet| fleet.placement.leaving(now, MAX_LEAVING_AGE));
-        let leaving = leaving.map(|it| (hash32(it.server.as_str()), it.incarnation));
         Tail {
             configuration: self.state.configuration_version(),
             leaving: leaving.take(MAX_LEAVING_PER_ROUND).collect(),
--- a/crates/entry/src/process/gossip/inbound.rs
+++ b/crates/entry/src/process/gossip/inbound.rs
@@ -217,8 +217,13 @@
     fn receive_leaving(&self, now: Instant, leaving: &[(u32, u64)]) {
         let mut fleets = self.state.fleets.lock();
         for (server, incarnation) in leaving {
+            // Which service an unlisted server belongs to is not known; its row may return.
+            let is_listed = fleets.values().any(|it| it.placement.lists(*server));
             for (service, fleet) in fleets.iter_mut() {
-                if fleet.placement.receive_leaving(now, *server, *incarnation) {
+                if is_listed && !fleet.placement.lists(*server) {
+                    continue;
+                }
+                if fleet.placement.record_leaving(now, *server, *incarnation) {
                     info!(self.state.log(), "servers: server is leaving";
                         "server-hash" => server, "service" => %service, "source" => "peer");
                 }
--- a/crates/entry/src/process/probe.rs
+++ b/crates/entry/src/process/probe.rs
@@ -85,7 +85,7 @@
         let text = |name| headers.get(name).and_then(|value| value.to_str().ok());
         let same = text(&protocol.server) == Some(self.server.as_str());
         if same && head::is_leaving(&headers, protocol) {
-            state.record_leaving(&self.service, &self.server);
+            state.record_leaving(&self.service, &self.server, self.incarnation);
         }
         // Health checks may lack the header, so that only a limit in them is news.
         let limit = head::limit(&headers, protocol);
--- a/crates/entry/src/process/state.rs
+++ b/crates/entry/src/process/state.rs
@@ -339,12 +339,16 @@
     }
 
     /// Records that a backend server said that it is leaving, and tells the other hosts.
-    pub fn record_leaving(&self, service: &Service, server: &Server) {
+    ///
+    /// It may not be listed any more; a listing that returns for the same process changes nothing.
+    pub fn record_leaving(&self, service: &Service, server: &Server, incarnation: u64) {
         let now = self.now();
-        let is_new = self.fleets.lock().get_mut(service).is_some_and(|fleet| {
-            let index = fleet.placement.find(server);
-            index.is_some_and(|index| fleet.placement.announce_leaving(now, index))
-        });
+        let hash = hash::hash32(server.as_str());
+        let is_new = self
+            .fleets
+            .lock()
+            .get_mut(service)
+            .is_some_and(|fleet| fleet.placement.record_leaving(now, hash, incarnation));
         if is_new {
             info!(self.log(), "servers: server is leaving"; "server" => %server,
                 "service" => %service, "source" => "answer");
--- a/crates/entry/src/request/attempt.rs
+++ b/crates/entry/src/request/attempt.rs
@@ -368,7 +368,7 @@
 fn observe_leaving(state: &State, target: &Target, response: &Response<Incoming>) {
     let protocol = state.dependencies.format.protocol();
     if !is_from_other(state, target, response) && head::is_leaving(response.headers(), protocol) {
-        state.record_leaving(&target.service, &target.server);
+        state.record_leaving(&target.service, &target.server, target.incarnation);
     }
 }
 
