fix(entry): a server is checked again after the connection to it was opened

Callers' requests reached a backend server although their host knew of its departure: the server was chosen, a connection was opened for up to 400 ms, and the request was sent without another look. Cause: a decision outlives what it was based on. Change: after the connection is there, the server has to be listed, not draining, not paused and not leaving for longer than the time for last requests; otherwise nothing is sent, another server is chosen, and no retry is counted. The connection closes unused. Result: a_choice_is_checked_again_before_the_request_is_sent, six cases. On loopback connections open at once, so that no test of whole hosts shows it.

--- a/crates/core/src/version/placement/absence.rs
+++ b/crates/core/src/version/placement/absence.rs
@@ -1,6 +1,6 @@
 //! Backend servers that say that they are leaving or that they want no requests for a time.
 
-use super::{Placement, Query};
+use super::{Choice, Placement, Query};
 use azurenotch_wire::time::Instant;
 use std::{cmp::Ordering, time::Duration};
 
@@ -75,6 +75,16 @@
         recent.map(|(server, it)| (*server, it.incarnation))
     }
 
+    /// Returns whether a request may still be sent to the server that was chosen for it.
+    pub fn may_send(&self, now: Instant, choice: &Choice) -> bool {
+        let entry = &self.entries[choice.index];
+        entry.is_listed()
+            && !entry.backend.draining
+            && !entry.awaits_health_check
+            && !entry.is_paused(now)
+            && entry.leaving.is_none_or(|at| now.since(at) < self.drain)
+    }
+
     /// Withholds requests from a server until `until`, as it has asked for.
     pub fn pause(&mut self, index: usize, until: Instant) {
         self.entries[index].pause(until);
--- a/crates/core/src/version/placement/tests.rs
+++ b/crates/core/src/version/placement/tests.rs
@@ -276,6 +276,29 @@
     assert!(placement.choose(Instant::ZERO + DRAIN, &query(1)).is_none());
 }
 
+/// What a host hears of a server while it opens a connection for a request.
+struct News {
+    hear: fn(&mut Placement),
+    may_send: bool,
+}
+
+/// Guards against a request to a server of which its host knew that it had left.
+#[test_case(News { hear: |_| {}, may_send: true }; "nothing")]
+#[test_case(News { hear: |it| it.remove(&"s0".into()), may_send: false }; "it is not listed any more")]
+#[test_case(News { hear: |it| it.insert(Instant::ZERO, &Backend { draining: true, ..backend(0, Tier::Local) }), may_send: false }; "it is draining")]
+#[test_case(News { hear: |it| assert!(it.record_leaving(Instant::ZERO, hash32("s0"), 1)), may_send: false }; "it said that it leaves")]
+#[test_case(News { hear: |it| it.pause(0, Instant::from_millis(900)), may_send: false }; "it wants a pause")]
+#[test_case(News { hear: |it| it.require_health_check(0), may_send: false }; "its health is in doubt")]
+fn a_choice_is_checked_again_before_the_request_is_sent(case: News) {
+    let mut placement = placement(1, 0);
+    placement.set_drain(Duration::from_millis(100));
+    let choice = choose(&mut placement, Instant::ZERO, 1);
+    placement.begin(Instant::ZERO, &choice, Some(1));
+    (case.hear)(&mut placement);
+    let sent = Instant::from_millis(200);
+    assert_eq!(placement.may_send(sent, &choice), case.may_send);
+}
+
 /// What happens to a server, which has a first listing, when one of its processes says that it leaves.
 struct Return {
     /// Process that says it.
--- a/crates/entry/src/request/attempt.rs
+++ b/crates/entry/src/request/attempt.rs
@@ -84,6 +84,8 @@
     NotRun(StatusCode),
     /// No byte of the request was sent.
     Unsent(pool::Error),
+    /// No byte of the request was sent, because the server has become unavailable since the choice.
+    Withdrawn,
     /// No usable answer arrived, and the request may have run; the text says why.
     Lost(&'static str),
     /// This host stops before an answer arrives.
@@ -174,6 +176,10 @@
     };
     let reused = lease.reused;
     attempt.sent = state.now();
+    if !is_still_available(state, target, attempt.sent) {
+        attempt.end(Verdict::Abandoned);
+        return Ending::Withdrawn;
+    }
     match exchange(state, job, target, lease, attempt.sent).await {
         Exchanged::Head(response, lease) => {
             observe_load(state, target, response.headers());
@@ -220,6 +226,15 @@
     }
 }
 
+/// Returns whether nothing was heard of the server, since it was chosen, that forbids the send.
+///
+/// Opening a connection takes time, in which the server may have left.
+fn is_still_available(state: &State, target: &Target, now: Instant) -> bool {
+    let fleets = state.fleets.lock();
+    let fleet = fleets.get(&target.service);
+    fleet.is_some_and(|fleet| fleet.placement.may_send(now, &target.choice))
+}
+
 /// Result of sending a request on a connection.
 enum Exchanged {
     Head(Response<Incoming>, Lease),
--- a/crates/entry/src/request/forward.rs
+++ b/crates/entry/src/request/forward.rs
@@ -211,6 +211,8 @@
                 self.observe_size(&response);
                 self.on_answer(attempts, response)
             }
+            // The server was not loaded, so that the next send is no retry.
+            Some(Ending::Withdrawn) => None,
             Some(Ending::NotRun(_) | Ending::Unsent(_)) => {
                 attempts.declined += 1;
                 None
@@ -455,6 +457,7 @@
         Some(Ending::NotRun(StatusCode::MISDIRECTED_REQUEST)) => "misdirected",
         Some(Ending::NotRun(_)) => "declined",
         Some(Ending::Unsent(_)) => "unreachable",
+        Some(Ending::Withdrawn) => "withdrawn",
         Some(Ending::Lost(reason)) => reason,
         Some(Ending::Stopped) => "stopped",
     }
