--- a/crates/core/src/process/presence.rs
+++ b/crates/core/src/process/presence.rs
@@ -4,6 +4,7 @@
 //! look-ups within seconds, but its share of the contracts stays reserved for longer, because it
 //! may be partitioned and still serve callers.
 
+use super::election::Path;
 use azurenotch_wire::{Map, Set, id::Host, time::Instant};
 use std::time::Duration;
 
@@ -40,8 +41,8 @@
     pub serving: bool,
     /// Whether it is about to stop.
     pub leaving: bool,
-    /// Whether its last calls to the store were answered.
-    pub reaches_store: bool,
+    /// Its way to the store.
+    pub path: Path,
 }
 
 /// Other hosts with the last status that each reported.
@@ -159,10 +160,10 @@
         report.is_some_and(|report| now.since(report.received) < self.unreachable_after)
     }
 
-    /// Returns whether a host reported that the store answers it.
-    pub fn reaches_store(&self, host: &Host) -> bool {
+    /// Returns a host's way to the store, as it reported it; that of an unknown host is lost.
+    pub fn path(&self, host: &Host) -> Path {
         let report = self.hosts.get(host);
-        report.is_some_and(|report| report.status.reaches_store)
+        report.map_or(Path::Lost, |report| report.status.path)
     }
 
     /// Returns the reachable hosts that are not about to stop.
--- a/crates/core/src/process/presence/tests.rs
+++ b/crates/core/src/process/presence/tests.rs
@@ -5,7 +5,7 @@
     incarnation: 1,
     serving: true,
     leaving: false,
-    reaches_store: true,
+    path: Path::Untried,
 };
 
 fn presence(hosts: usize) -> Presence {
--- a/crates/core/tests/quota_partition.rs
+++ b/crates/core/tests/quota_partition.rs
@@ -4,6 +4,7 @@
 
 use azurenotch_core::process::{
     echo::Echo,
+    election::Path,
     presence::{Presence, Status},
     quota::{Contract, Count, Quota},
 };
@@ -221,7 +222,7 @@
                 incarnation: message.incarnation,
                 serving: true,
                 leaving: false,
-                reaches_store: true,
+                path: Path::Untried,
             };
             node.presence.on_status(now, name, status);
             node.echoes.insert(message.from, message.sent);
--- a/crates/core/tests/server_limit/fleet.rs
+++ b/crates/core/tests/server_limit/fleet.rs
@@ -5,7 +5,7 @@
     record::{Arrival, CONTACT_MS, Excuse, Record, Verdict},
 };
 use azurenotch_core::{
-    process::{echo::Echo, presence::Status},
+    process::{echo::Echo, election::Path, presence::Status},
     version::{
         limit::{Report, Statement},
         placement::{Query, Verdict as Ending},
@@ -303,7 +303,7 @@
             incarnation: message.incarnation,
             serving: true,
             leaving: false,
-            reaches_store: true,
+            path: Path::Untried,
         };
         let name = format!("host-{}", message.from).into();
         node.presence.on_status(now, &name, status);
--- a/crates/entry/src/platform.rs
+++ b/crates/entry/src/platform.rs
@@ -89,10 +89,18 @@
 
     /// Waits up to `wait` for changes after the store's version `after`.
     ///
+    /// `timeout` is the time limit of the whole call, connecting included.
+    ///
     /// # Errors
     ///
     /// Fails with [`Error::Restored`] if `after` belongs to an earlier era of the store.
-    async fn follow(&self, subject: Subject, after: u64, wait: Duration) -> Result<Batch>;
+    async fn follow(
+        &self,
+        subject: Subject,
+        after: u64,
+        wait: Duration,
+        timeout: Duration,
+    ) -> Result<Batch>;
 
     /// Writes this host's row, which other hosts read to find it; returns the era of the write.
     async fn announce(&self, peer: &Peer) -> Result<Era>;
--- a/crates/entry/src/process/feed.rs
+++ b/crates/entry/src/process/feed.rs
@@ -5,10 +5,11 @@
     platform::{Error, Result, Subject},
     process::{
         change::{Origin, Source},
-        replica::Update,
+        replica::{Freshness, Update},
         state::State,
     },
 };
+use azurenotch_core::process::{election::Role, passage};
 use azurenotch_wire::time::Instant;
 use derive_more::Display;
 use rand::random_range;
@@ -17,20 +18,17 @@
 use tokio::{select, time::sleep};
 use tokio_util::sync::CancellationToken;
 
-/// Time for which the store holds a long poll open before it answers without changes.
-///
-/// A host without an answer does not learn of withdrawn keys, so the time is well below the bound
-/// `withdrawal-s`.
-const LONG_POLL_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time between two checks of whether this host has to follow the store.
 const FOLLOW_CHECK_INTERVAL: Duration = Duration::from_millis(100);
-/// Age of the last confirmation from which a host that relies on others follows the store itself.
+/// Pause of the standby after changes.
+const STANDBY_PAUSE: Duration = Duration::from_millis(250);
+/// Age of the last proven confirmation from which a host follows the store itself.
 ///
 /// Leaves time for two tries within the bound `withdrawal-s`.
 const MAX_CONFIRMATION_AGE: Duration = Duration::from_secs(3);
 /// Back-off after the first failure, doubled with each further one in a row.
 const MIN_BACKOFF: Duration = Duration::from_millis(150);
-/// Maximum back-off of a host that follows the store for others.
+/// Maximum back-off of the hosts that follow the store for others.
 const MAX_FOLLOWER_BACKOFF: Duration = Duration::from_millis(800);
 /// Maximum back-off of the other hosts.
 ///
@@ -42,10 +40,11 @@
     let mut feed = Feed {
         state,
         subject,
-        needs_full_read: true,
+        needs_full_read: false,
         backoff: MIN_BACKOFF,
         connected: false,
         reason: None,
+        role: Role::Deputy(usize::MAX),
     };
     select! {
         () = stop.cancelled() => {}
@@ -65,6 +64,8 @@
     connected: bool,
     /// Why this host followed the store in the last check; `None` if it did not.
     reason: Option<Reason>,
+    /// Part of this host in reading the store, as of the last check.
+    role: Role,
 }
 
 /// Why a host follows the store.
@@ -72,10 +73,16 @@
 /// The displayed names are fields of log lines.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 enum Reason {
-    /// It does so for the other hosts.
-    #[display("elected")]
-    Elected,
-    /// No host has confirmed its rows for too long.
+    /// It reads the store for the other hosts.
+    #[display("reader")]
+    Reader,
+    /// It waits for changes beside the reader.
+    #[display("standby")]
+    Standby,
+    /// No host has confirmed its rows for so long that this one takes over.
+    #[display("takeover")]
+    Takeover,
+    /// The age of the last confirmation that other hosts have proven.
     #[display("confirmation-age")]
     ConfirmationAge,
     /// It holds rows that the store has lost.
@@ -86,16 +93,24 @@
 impl Feed {
     async fn follow(&mut self) {
         loop {
-            if !self.check_role() {
+            let Some(reason) = self.check_role() else {
                 sleep(FOLLOW_CHECK_INTERVAL).await;
                 continue;
-            }
-            let now = self.state.now();
-            self.needs_full_read |= self.state.replica.lock().end_holds(now, self.subject);
+            };
+            self.needs_full_read |= self.lacks_rows();
             let result = if self.needs_full_read {
                 self.read_all().await
+            } else if reason == Reason::Standby {
+                select! {
+                    result = self.poll_changes(self.wait(Role::Standby)) => result,
+                    // The next call waits for as short a time as the reader's.
+                    () = self.takes_over() => continue,
+                }
+            } else if reason == Reason::Takeover {
+                // Others take over too unless they hear of a confirmation soon.
+                self.poll_changes(Duration::ZERO).await
             } else {
-                self.poll_changes().await
+                self.poll_changes(self.wait(Role::Reader)).await
             };
             let name = self.subject.to_string();
             match result {
@@ -145,74 +160,119 @@
         Ok(())
     }
 
-    async fn poll_changes(&self) -> Result<()> {
+    /// Returns whether changes since the known version would not suffice.
+    fn lacks_rows(&self) -> bool {
+        let now = self.state.now();
+        let mut replica = self.state.replica.lock();
+        // Rows that came from other hosts are as complete as their version says.
+        replica.end_holds(now, self.subject) || replica.freshness(self.subject).version == 0
+    }
+
+    /// Returns for how long a host in this role waits for changes in one call.
+    fn wait(&self, role: Role) -> Duration {
+        self.state.setting().bounds.passage().wait(role)
+    }
+
+    async fn poll_changes(&self, wait: Duration) -> Result<()> {
         let start = self.state.now();
         let version = self.state.replica.lock().freshness(self.subject).version;
+        let limit = wait + passage::ANSWER_TIMEOUT;
         let store = &self.state.dependencies.store;
-        let batch = store
-            .follow(self.subject, version, LONG_POLL_TIMEOUT)
-            .await?;
+        let batch = store.follow(self.subject, version, wait, limit).await?;
         let end = self.state.now();
         self.log_unusable(&batch.unusable);
         // An empty answer after the full wait proves that nothing changed until the wait ended.
-        let waited = batch.facts.is_empty() && batch.unusable.is_empty();
-        let waited = waited && end.since(start) >= LONG_POLL_TIMEOUT;
-        let at = if waited {
-            start + LONG_POLL_TIMEOUT
-        } else {
-            start
-        };
+        let is_empty = batch.facts.is_empty() && batch.unusable.is_empty();
+        let waited = is_empty && end.since(start) >= wait;
+        let at = if waited { start + wait } else { start };
         let update = Update {
             after: version,
             up_to: batch.version,
             facts: batch.facts,
         };
-        let mut replica = self.state.replica.lock();
-        replica.set_clock(end, batch.clock);
-        let confirmed = replica.freshness(self.subject).confirmed;
-        let changes = replica.apply_store_update(end, self.subject, update, at);
-        drop(replica);
-        if !changes.is_empty() {
-            self.state.apply(changes, store_source(confirmed));
-            self.state.gossip_wakeup.notify_one();
+        let (confirmed, changes) = {
+            let mut replica = self.state.replica.lock();
+            replica.set_clock(end, batch.clock);
+            let confirmed = replica.freshness(self.subject).confirmed;
+            let changes = replica.apply_store_update(end, self.subject, update, at);
+            (confirmed, changes)
+        };
+        // The other hosts read the store unless they hear of a confirmation. The reader's is enough.
+        let tells = !changes.is_empty() || self.reason != Some(Reason::Standby);
+        self.state.apply(changes, store_source(confirmed));
+        if tells {
+            self.state.update_wakeup.notify_one();
+        }
+        if !is_empty && self.reason == Some(Reason::Standby) {
+            // Changes come in series, and the reader has most of them first.
+            sleep(STANDBY_PAUSE).await;
         }
         Ok(())
     }
 
-    /// Returns whether this host has to follow the store, and logs when that changes.
-    fn check_role(&mut self) -> bool {
+    /// Returns why this host has to follow the store, and logs when that changes.
+    fn check_role(&mut self) -> Option<Reason> {
         let now = self.state.now();
-        let confirmed = self.state.replica.lock().freshness(self.subject).confirmed;
-        let reason = self.reason_to_follow(now, confirmed);
+        let freshness = self.state.replica.lock().freshness(self.subject);
+        self.role = self.state.store_role(now);
+        let reason = self.reason_to_follow(now, freshness);
         if self.reason != reason {
             self.reason = reason;
-            let age = confirmed.map(|at| now.since(at).as_millis() as u64);
+            let age = |at: Option<Instant>| at.map(|at| now.since(at).as_millis() as u64);
             let reason_name = reason.map(|reason| reason.to_string());
             info!(self.state.log(), "feed: role changed"; "subject" => %self.subject,
-                "follows" => reason.is_some(), "reason" => reason_name, "age-ms" => age);
+                "follows" => reason.is_some(), "reason" => reason_name,
+                "heard-age-ms" => age(freshness.heard), "age-ms" => age(freshness.confirmed));
             let name = self.subject.to_string();
             self.state.metrics.set_follows(&name, reason.is_some());
         }
-        reason.is_some()
+        reason
     }
 
     /// Returns why this host has to follow the store; `None` if it relies on others.
-    fn reason_to_follow(&self, now: Instant, confirmed: Option<Instant>) -> Option<Reason> {
+    fn reason_to_follow(&self, now: Instant, freshness: Freshness) -> Option<Reason> {
+        let Freshness {
+            confirmed, heard, ..
+        } = freshness;
         if confirmed.is_none() && self.state.awaits_first_read(now) {
-            let elected = self.state.knows_others(now) && self.state.follows_store(now);
-            return elected.then_some(Reason::Elected);
+            let elected = self.state.knows_others(now) && self.role == Role::Reader;
+            return elected.then_some(Reason::Reader);
+        }
+        if self.role == Role::Reader {
+            return Some(Reason::Reader);
         }
-        if self.state.follows_store(now) {
-            return Some(Reason::Elected);
+        if self.is_impatient(now, heard) {
+            return Some(Reason::Takeover);
         }
         if confirmed.is_none_or(|at| now.since(at) > MAX_CONFIRMATION_AGE) {
             return Some(Reason::ConfirmationAge);
         }
+        if self.role == Role::Standby {
+            return Some(Reason::Standby);
+        }
         // Only a host that has read the store knows which rows it has to read again.
         let holds = self.state.replica.lock().has_holds(self.subject);
         holds.then_some(Reason::HeldRows)
     }
 
+    /// Returns whether this host has heard of no confirmation for longer than its role permits.
+    fn is_impatient(&self, now: Instant, heard: Option<Instant>) -> bool {
+        let patience = self.state.setting().bounds.passage().patience(self.role);
+        heard.is_none_or(|at| now.since(at) > patience)
+    }
+
+    /// Waits until the standby takes over from the reader.
+    async fn takes_over(&self) {
+        loop {
+            sleep(FOLLOW_CHECK_INTERVAL).await;
+            let now = self.state.now();
+            let heard = self.state.replica.lock().freshness(self.subject).heard;
+            if self.is_impatient(now, heard) || self.state.store_role(now) == Role::Reader {
+                return;
+            }
+        }
+    }
+
     fn log_unusable(&self, unusable: &[(String, String)]) {
         for (key, reason) in unusable {
             warn!(self.state.log(), "feed: unusable row"; "subject" => %self.subject,
@@ -238,10 +298,9 @@
         // Jitter keeps hosts that lost the store together from retrying together.
         sleep(self.backoff.mul_f64(random_range(0.7..1.3))).await;
         let now = self.state.now();
-        let max_backoff = if self.state.follows_store(now) {
-            MAX_FOLLOWER_BACKOFF
-        } else {
-            MAX_OTHERS_BACKOFF
+        let max_backoff = match self.state.store_role(now) {
+            Role::Reader | Role::Standby => MAX_FOLLOWER_BACKOFF,
+            Role::Deputy(_) => MAX_OTHERS_BACKOFF,
         };
         self.backoff = (2 * self.backoff).min(max_backoff);
     }
--- a/crates/entry/src/process/gossip.rs
+++ b/crates/entry/src/process/gossip.rs
@@ -4,17 +4,25 @@
 //! and how current its replica of the platform's rows is, and contains the sender's part of shared
 //! counts: admitted requests, evidence about new versions, and loads of backend servers.
 
+mod contact;
 mod inbound;
+mod updates;
 
 use crate::{
     platform::Subject,
     process::{
-        message::{FreshnessReport, Head, Message, Tail},
+        message::{Access, FreshnessReport, Head, Message, Tail},
+        replica::Update,
         state::State,
     },
 };
-use azurenotch_core::process::{echo::Echo, presence};
+use azurenotch_core::process::{
+    echo::Echo,
+    election::{Path, Role},
+    presence, spread,
+};
 use azurenotch_wire::{hash::hash32, id::Host};
+use contact::Contact;
 use parking_lot::Mutex;
 use rand::random_range;
 use slog::{debug, info, warn};
@@ -26,8 +34,13 @@
     },
     time::Duration,
 };
-use tokio::{net::UdpSocket, select, time::sleep};
+use tokio::{
+    net::UdpSocket,
+    select,
+    time::{Instant, sleep, sleep_until},
+};
 use tokio_util::sync::CancellationToken;
+use updates::{Round, Updates};
 
 /// Time between two rounds in a system of up to [`HOSTS_PER_BASE_ROUND`] hosts.
 const BASE_ROUND_INTERVAL: Duration = Duration::from_millis(400);
@@ -41,8 +54,8 @@
 const MAX_LOADS_PER_ROUND: usize = 40;
 /// Shortest time between two rounds, also when a change is sent at once.
 const MIN_ROUND_INTERVAL: Duration = Duration::from_millis(60);
-/// Maximum number of facts per subject in one message; hosts request larger updates over HTTP.
-const MAX_FACTS_PER_UPDATE: usize = 4;
+/// Maximum size of the rows of one subject in one message, in bytes; more rows take more messages.
+const MAX_UPDATE_BYTES: usize = 1_000;
 /// Subjects whose updates hosts that follow the store send to the others.
 const UPDATE_SUBJECTS: [Subject; 2] = [Subject::Orders, Subject::Servers];
 /// Age up to which the load of a backend server is sent.
@@ -61,8 +74,8 @@
 pub struct Gossip {
     state: Arc<State>,
     socket: UdpSocket,
-    /// Last echo of each host, returned to it in the next datagram.
-    echoes: Mutex<azurenotch_wire::Map<Host, Echo>>,
+    /// What each host said last.
+    contacts: Mutex<azurenotch_wire::Map<Host, Contact>>,
     /// Share of all hosts that was reachable in the last round.
     reachable_share: Mutex<Option<f64>>,
     /// Number of rounds so far.
@@ -76,6 +89,10 @@
 pub struct NewerPeer {
     /// Address for requests of other hosts.
     pub address: SocketAddr,
+    /// Versions of its rows, by subject.
+    pub versions: [(Subject, u64); 2],
+    /// Version of its configuration.
+    pub configuration: u64,
 }
 
 impl Gossip {
@@ -89,7 +106,7 @@
         Ok(Self {
             state,
             socket,
-            echoes: Mutex::default(),
+            contacts: Mutex::default(),
             reachable_share: Mutex::default(),
             round: AtomicUsize::new(0),
             follows: AtomicBool::new(false),
@@ -121,11 +138,22 @@
             self.send_round(&targets).await;
             // Jitter keeps hosts that started together from sending together.
             let round = round_interval(targets.len()).mul_f64(random_range(0.9..1.1));
+            self.send_changes_until(Instant::now() + round).await;
+        }
+    }
+
+    /// Sends changes of the rows at once, until a round is due.
+    async fn send_changes_until(&self, due: Instant) {
+        loop {
             sleep(MIN_ROUND_INTERVAL).await;
             select! {
-                () = sleep(round.saturating_sub(MIN_ROUND_INTERVAL)) => {}
-                // A change is sent at once, and again in the following rounds.
-                () = self.state.gossip_wakeup.notified() => {}
+                () = sleep_until(due) => return,
+                // What is sent at once is sent again in the following rounds.
+                () = self.state.gossip_wakeup.notified() => return,
+                () = self.state.update_wakeup.notified() => {
+                    let receivers = self.receivers();
+                    self.send_round(&receivers).await;
+                }
             }
         }
     }
@@ -151,39 +179,126 @@
     }
 
     async fn send_round(&self, targets: &[(Option<Host>, SocketAddr)]) {
-        let body = match self.encode() {
-            Ok(body) => body,
+        let round = match self.encode_round() {
+            Ok(round) => round,
             Err(error) => {
                 warn!(self.state.log(), "gossip: cannot encode message"; "error" => %error);
                 return;
             }
         };
-        for (host, address) in targets {
-            let echo = host.as_ref().and_then(|host| {
-                let echoes = self.echoes.lock();
-                echoes.get(host).copied()
-            });
-            let Ok(mut bytes) = rmp_serde::to_vec(&Head { echo }) else {
+        let receivers = self.receivers();
+        for target in targets {
+            let (host, address) = target;
+            let gets_changes = host.is_none() || receivers.contains(target);
+            let (echo, bodies) = self.prepare(host.as_ref(), &round, gets_changes);
+            let Ok(head) = rmp_serde::to_vec(&Head { echo }) else {
                 continue;
             };
-            bytes.extend_from_slice(&body);
-            // The next round makes up for a lost datagram.
-            if let Err(error) = self.socket.send_to(&bytes, *address).await {
-                debug!(self.state.log(), "gossip: cannot send datagram"; "to" => %address,
-                    "error" => %error);
+            for body in bodies {
+                let bytes = [head.as_slice(), body].concat();
+                // The next round makes up for a lost datagram.
+                if let Err(error) = self.socket.send_to(&bytes, *address).await {
+                    debug!(self.state.log(), "gossip: cannot send datagram"; "to" => %address,
+                        "error" => %error);
+                }
             }
         }
     }
 
-    /// Encodes the parts of a datagram that are the same for all receivers.
-    fn encode(&self) -> Result<Vec<u8>, rmp_serde::encode::Error> {
-        let mut body = rmp_serde::to_vec(&self.message())?;
-        rmp_serde::encode::write(&mut body, &self.tail())?;
-        let limits = self.state.limit_news(self.state.now());
-        if !limits.reports.is_empty() {
-            rmp_serde::encode::write(&mut body, &limits)?;
+    /// Returns the echo and the bodies of the datagrams for a host.
+    ///
+    /// `gets_changes` says whether the host gets changes of the rows from this one.
+    fn prepare<'r>(
+        &self,
+        host: Option<&Host>,
+        round: &'r Round,
+        gets_changes: bool,
+    ) -> (Option<Echo>, Vec<&'r [u8]>) {
+        let now = self.state.now();
+        let mut contacts = self.contacts.lock();
+        let mut contact = host.and_then(|host| contacts.get_mut(host));
+        let echo = contact.as_ref().map(|it| it.echo);
+        if !gets_changes {
+            return (echo, vec![&round.status]);
+        }
+        let lacks = |part: &[Update; 2]| contact.as_ref().is_none_or(|it| it.lacks(now, part));
+        let parts = round.parts.iter().filter(|(part, _)| lacks(part));
+        let bodies: Vec<&[u8]> = parts.map(|(_, body)| body.as_slice()).collect();
+        if bodies.is_empty() {
+            return (echo, vec![&round.rest]);
         }
-        Ok(body)
+        if let Some(contact) = &mut contact {
+            contact.tell(now, round.versions);
+        }
+        (echo, bodies)
+    }
+
+    /// Encodes the datagrams of a round, as far as they are the same for all receivers.
+    fn encode_round(&self) -> Result<Round, rmp_serde::encode::Error> {
+        let mut message = self.message();
+        let tail = rmp_serde::to_vec(&self.tail())?;
+        let now = self.state.now();
+        let limits = self.state.limit_news(now);
+        let is_proven = self.state.store_path(now) == Path::Proven;
+        let mut encode = |updates: Option<[Update; 2]>| {
+            let mut end = Vec::new();
+            if updates.is_some() || !limits.reports.is_empty() {
+                rmp_serde::encode::write(&mut end, &limits)?;
+            }
+            if updates.is_some() {
+                rmp_serde::encode::write(&mut end, &Access { is_proven })?;
+            }
+            message.updates = updates;
+            let body = rmp_serde::to_vec(&message)?;
+            Ok::<_, rmp_serde::encode::Error>([body.as_slice(), &tail, &end].concat())
+        };
+        let Updates {
+            parts,
+            rest,
+            versions,
+        } = self.updates();
+        let status = encode(is_proven.then(|| rest.clone()))?;
+        let rest = encode(Some(rest))?;
+        let parts = parts.into_iter().map(|part| {
+            let body = encode(Some(part.clone()))?;
+            Ok((part, body))
+        });
+        let parts = parts.collect::<Result<_, rmp_serde::encode::Error>>()?;
+        Ok(Round {
+            parts,
+            rest,
+            status,
+            versions,
+        })
+    }
+
+    /// Returns the recent changes of the rows.
+    fn updates(&self) -> Updates {
+        let now = self.state.now();
+        let replica = self.state.replica.lock();
+        let recent =
+            UPDATE_SUBJECTS.map(|subject| replica.recent_updates(now, subject, MAX_UPDATE_BYTES));
+        let versions = UPDATE_SUBJECTS.map(|subject| replica.freshness(subject).version);
+        Updates::new(recent, versions)
+    }
+
+    /// Returns the hosts that get changes of the rows from this one.
+    fn receivers(&self) -> Vec<(Option<Host>, SocketAddr)> {
+        let now = self.state.now();
+        let path = self.state.store_path(now);
+        let membership = self.state.membership.lock();
+        let own = &self.state.own;
+        let others = membership.presence.reachable(now);
+        let others = others.filter_map(|host| {
+            let peer = membership.peers.get(host)?;
+            Some((host, &peer.data_centre))
+        });
+        let receivers = spread::receivers((&own.host, &own.data_centre), path, others);
+        let addresses = receivers.into_iter().filter_map(|host| {
+            let peer = membership.peers.get(host)?;
+            Some((Some(host.clone()), peer.address))
+        });
+        addresses.collect()
     }
 
     /// Returns the targets of the next round: all known hosts.
@@ -233,7 +348,7 @@
         }
         for host in &removed {
             info!(self.state.log(), "hosts: unreachable peer removed"; "peer" => %host);
-            self.echoes.lock().remove(host);
+            self.contacts.lock().remove(host);
         }
         for quota in self.state.quotas.lock().values_mut() {
             for host in &removed {
@@ -273,16 +388,13 @@
     fn message(&self) -> Message {
         let state = &self.state;
         let now = state.now();
-        let follows = state.follows_store(now);
+        let follows = !matches!(state.store_role(now), Role::Deputy(_));
         self.follows.store(follows, Ordering::Relaxed);
         let replica = state.replica.lock();
         let (orders, servers) = (
             replica.freshness(Subject::Orders),
             replica.freshness(Subject::Servers),
         );
-        let updates = follows.then(|| {
-            UPDATE_SUBJECTS.map(|subject| replica.recent_update(now, subject, MAX_FACTS_PER_UPDATE))
-        });
         let round = self.round.fetch_add(1, Ordering::Relaxed);
         let shared = replica.shared(round, MAX_HELD_PER_ROUND);
         drop(replica);
@@ -320,11 +432,11 @@
             peer: state.own.clone(),
             serving: state.is_ready(),
             leaving: state.is_leaving(),
-            reaches_store: state.reaches_store(),
+            reaches_store: state.store_path(now) != Path::Lost,
             sent: Echo::new(state.own.incarnation, now),
             orders: FreshnessReport::new(now, orders),
             servers: FreshnessReport::new(now, servers),
-            updates,
+            updates: None,
             shared,
             usage,
             rates,
--- a/crates/entry/src/process/gossip/inbound.rs
+++ b/crates/entry/src/process/gossip/inbound.rs
@@ -1,17 +1,18 @@
 //! Messages that a host receives from others.
 
-use super::{BASE_ROUND_INTERVAL, Gossip, NewerPeer, UPDATE_SUBJECTS};
+use super::{BASE_ROUND_INTERVAL, Contact, Gossip, NewerPeer, UPDATE_SUBJECTS};
 use crate::{
+    era::Era,
     model::Fact,
     platform::Subject,
     process::{
         change::{Origin, Source},
         message::{self, Datagram, FreshnessReport},
-        replica::Update,
+        replica::{Freshness, Update},
     },
 };
 use azurenotch_core::{
-    process::{echo::Echo, presence::Status, quota::Count},
+    process::{echo::Echo, election::Path, presence::Status, quota::Count},
     version::{cutover::Evidence, placement::Load},
 };
 use azurenotch_wire::{hash::hash32, id::Host, time::Instant};
@@ -77,6 +78,7 @@
             message,
             tail,
             limits,
+            access,
         } = datagram;
         let state = &self.state;
         let now = state.now();
@@ -92,10 +94,14 @@
             incarnation,
             serving: message.serving,
             leaving: message.leaving,
-            reaches_store: message.reaches_store,
+            path: match &message.updates {
+                _ if !message.reaches_store => Path::Lost,
+                Some(_) if access.is_proven => Path::Proven,
+                _ => Path::Untried,
+            },
         };
         // Hosts that do not call the store learn of its faults from those that do.
-        let lost_store = membership.presence.reaches_store(&host) && !status.reaches_store;
+        let lost_store = membership.presence.path(&host) != Path::Lost && status.path == Path::Lost;
         let joined = membership.presence.on_status(now, &host, status);
         if lost_store {
             state.slew.lock().suspend(now);
@@ -113,9 +119,17 @@
         }
         let address = message.peer.address;
         let is_near = message.peer.region == state.own.region;
+        let forwards =
+            status.path == Path::Proven && message.peer.data_centre != state.own.data_centre;
+        let known = self.freshness();
         membership.peers.insert(host.clone(), message.peer);
         drop(membership);
-        self.echoes.lock().insert(host.clone(), message.sent);
+        let versions = [message.orders.version, message.servers.version];
+        self.contacts
+            .lock()
+            .entry(host.clone())
+            .or_insert_with(|| Contact::new(message.sent, versions))
+            .update(now, message.sent, versions);
         self.receive_shared_counts(now, &host, incarnation, &message.usage, &message.evidence);
         if is_near {
             self.receive_rates(now, &host, &message.rates);
@@ -137,12 +151,28 @@
             ],
             newer_configuration,
         );
+        if forwards && self.freshness() != known {
+            state.update_wakeup.notify_one();
+        }
         Received {
-            newer_peer: (newer || newer_configuration).then_some(NewerPeer { address }),
+            newer_peer: (newer || newer_configuration).then_some(NewerPeer {
+                address,
+                versions: [
+                    (Subject::Orders, versions[0]),
+                    (Subject::Servers, versions[1]),
+                ],
+                configuration: tail.configuration,
+            }),
             joined,
         }
     }
 
+    /// Returns up to when this host has changes, and when it heard of the last confirmation.
+    fn freshness(&self) -> [Freshness; 2] {
+        let replica = self.state.replica.lock();
+        UPDATE_SUBJECTS.map(|subject| replica.freshness(subject))
+    }
+
     fn receive_shared_counts(
         &self,
         now: Instant,
@@ -245,7 +275,7 @@
         }
     }
 
-    /// Confirms the subjects of which this host and the sender have the same version.
+    /// Confirms the subjects of which this host has all rows of the sender.
     ///
     /// The sender's confirmation counts from the time that the echo proves. Returns whether the
     /// sender has a newer version that this host's own feed is not expected to deliver.
@@ -271,14 +301,20 @@
                 // This host's own feed delivers the change sooner, unless it has lost the store.
                 let stale = own.confirmed.is_none_or(|at| now.since(at) > stale_age);
                 newer |= stale || !follows;
-            } else if theirs.version == own.version
+            } else if Era::of(theirs.version) == Era::of(own.version)
                 // The sender's confirmation includes a configuration that the store has lost.
                 && !(newer_configuration && *subject == Subject::Orders)
-                && let Some((echo, age_ms)) = echo.zip(theirs.age_ms)
-                && let Some(at) =
-                    echo.confirmed_at(now, incarnation, Duration::from_millis(age_ms.into()))
+                && let Some(age_ms) = theirs.age_ms
             {
-                replica.confirm(*subject, theirs.version, at);
+                // This host has all that the sender had when the store had nothing later.
+                let age = Duration::from_millis(age_ms.into());
+                if age <= now.since(Instant::ZERO) {
+                    replica.hear(*subject, now - age);
+                }
+                let at = echo.and_then(|echo| echo.confirmed_at(now, incarnation, age));
+                if let Some(at) = at {
+                    replica.confirm(*subject, theirs.version, at);
+                }
             }
         }
         newer
--- /dev/null
+++ b/crates/entry/src/process/gossip/updates.rs
@@ -0,0 +1,67 @@
+//! Changes of the rows in the datagrams of a round.
+
+use crate::process::replica::Update;
+
+/// Maximum number of datagrams in one round to a host that lacks changes.
+///
+/// Hosts request larger updates over HTTP.
+const MAX_PARTS: usize = 16;
+
+/// Datagrams of a round without their heads, which differ for each receiver.
+#[derive(Debug)]
+pub(super) struct Round {
+    /// Parts of the recent changes, oldest first, for hosts that lack them.
+    pub(super) parts: Vec<([Update; 2], Vec<u8>)>,
+    /// For hosts that have all changes.
+    pub(super) rest: Vec<u8>,
+    /// For hosts that get changes from others.
+    pub(super) status: Vec<u8>,
+    /// Versions of the rows, orders first.
+    pub(super) versions: [u64; 2],
+}
+
+/// Recent changes of the rows, orders first.
+#[derive(Debug)]
+pub(super) struct Updates {
+    /// Parts with changes, oldest first; the last one ends with the present versions.
+    pub(super) parts: Vec<[Update; 2]>,
+    /// Says that there were no changes after the last part.
+    pub(super) rest: [Update; 2],
+    /// Present versions.
+    pub(super) versions: [u64; 2],
+}
+
+impl Updates {
+    /// Pairs the parts of both subjects, which end with `versions`.
+    pub(super) fn new(recent: [Vec<Update>; 2], versions: [u64; 2]) -> Self {
+        let count = recent.iter().map(Vec::len).max().unwrap_or(0);
+        let [orders, servers] = recent;
+        let mut rest = [orders.last(), servers.last()].map(|last| {
+            let last_change = last.and_then(|part| part.facts.last().map(|fact| fact.version));
+            last_change.or_else(|| last.map(|part| part.after))
+        });
+        let rest = std::array::from_fn(|index| Update {
+            after: rest[index].take().unwrap_or(versions[index]),
+            up_to: versions[index],
+            facts: Vec::new(),
+        });
+        let pad = |parts: Vec<Update>, version: u64| {
+            let missing = count - parts.len();
+            let none = std::iter::repeat_n(Update::none(version), missing);
+            none.chain(parts).collect::<Vec<_>>()
+        };
+        let pairs = pad(orders, versions[0])
+            .into_iter()
+            .zip(pad(servers, versions[1]));
+        let parts = pairs.map(|(orders, servers)| [orders, servers]);
+        let parts: Vec<_> = parts
+            .filter(|part| part.iter().any(|update| !update.facts.is_empty()))
+            .collect();
+        let skipped = parts.len().saturating_sub(MAX_PARTS);
+        Self {
+            parts: parts.into_iter().skip(skipped).collect(),
+            rest,
+            versions,
+        }
+    }
+}
--- a/crates/entry/src/process/message.rs
+++ b/crates/entry/src/process/message.rs
@@ -18,6 +18,7 @@
     pub(crate) message: Message,
     pub(crate) tail: Tail,
     pub(crate) limits: Limits,
+    pub(crate) access: Access,
 }
 
 /// Start of a datagram, which differs for each receiver.
@@ -39,7 +40,7 @@
     pub(crate) sent: Echo,
     pub(crate) orders: FreshnessReport,
     pub(crate) servers: FreshnessReport,
-    /// Recent changes of orders and servers; `None` if the sender does not follow the store.
+    /// Recent changes of orders and servers; `None` if the receiver gets them from others.
     pub(crate) updates: Option<[Update; 2]>,
     /// States of version moves, and rows that the store has lost.
     pub(crate) shared: Vec<Fact>,
@@ -64,14 +65,29 @@
     pub(crate) configuration: u64,
 }
 
-/// What the sender heard about the limits of backend servers; the last part of a datagram.
+/// What the sender heard about the limits of backend servers.
 ///
-/// It is left out if there is nothing, and builds before it ignore it.
+/// It is left out if there is nothing and no part follows, and builds before it ignore it.
 #[derive(Debug, Default, Serialize, Deserialize)]
 pub(crate) struct Limits {
     pub(crate) reports: Vec<LimitReport>,
 }
 
+/// How the sender got the updates in a datagram; its last part.
+///
+/// Hosts of builds before it leave it out, and send updates only if they follow the store.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub(crate) struct Access {
+    /// Whether the store has answered the sender lately.
+    pub(crate) is_proven: bool,
+}
+
+impl Default for Access {
+    fn default() -> Self {
+        Self { is_proven: true }
+    }
+}
+
 /// What the sender heard about the limit of a backend server.
 #[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 pub(crate) struct LimitReport {
@@ -114,6 +130,7 @@
         message: rmp_serde::from_read(&mut reader)?,
         tail: decode_optional(&mut reader)?,
         limits: decode_optional(&mut reader)?,
+        access: decode_optional(&mut reader)?,
     })
 }
 
--- a/crates/entry/src/process/relay.rs
+++ b/crates/entry/src/process/relay.rs
@@ -18,11 +18,17 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{body::Incoming, client::conn::http1 as client};
 use hyper_util::rt::TokioIo;
+use rand::random_range;
 use serde::{Deserialize, Serialize};
 use slog::{debug, info, warn};
 use snafu::{ResultExt, Snafu};
 use std::{io, net::SocketAddr, sync::Arc, time::Duration};
-use tokio::{net::TcpStream, select, sync::watch, time::timeout};
+use tokio::{
+    net::TcpStream,
+    select,
+    sync::watch,
+    time::{sleep, timeout},
+};
 use tokio_util::sync::CancellationToken;
 
 /// Path of updates.
@@ -31,6 +37,8 @@
 const FACTS_PATH: &str = "/facts";
 /// Timeout of a request to another host.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(800);
+/// Time for the messages that contain a change to arrive one after the other.
+const MESSAGE_TIME: Duration = Duration::from_millis(80);
 /// Pause after each request.
 const REQUEST_PAUSE: Duration = Duration::from_millis(150);
 /// Maximum size of another host's answer in bytes.
@@ -107,7 +115,12 @@
             () = stop.cancelled() => return,
             changed = newer_peers.changed() => if changed.is_err() { return },
         }
+        // Most changes arrive in messages, but not the rows that a host starts with.
+        if state.configuration_version() != 0 {
+            sleep(MESSAGE_TIME).await;
+        }
         let newer_peer = newer_peers.borrow_and_update().clone();
+        let newer_peer = newer_peer.filter(|it| is_newer(&state, it));
         if let Some(newer_peer) = newer_peer {
             match request(&state, newer_peer.address).await {
                 Ok(answer) => {
@@ -128,16 +141,25 @@
                 }
             }
         }
-        tokio::time::sleep(REQUEST_PAUSE).await;
+        // Jitter keeps hosts that were rejected together from asking together.
+        sleep(REQUEST_PAUSE.mul_f64(random_range(0.7..2.0))).await;
     }
 }
 
+/// Returns whether another host still has rows that this one lacks.
+fn is_newer(state: &State, peer: &NewerPeer) -> bool {
+    let replica = state.replica.lock();
+    let lacks = |(subject, version)| replica.freshness(subject).version < version;
+    peer.versions.into_iter().any(lacks) || state.configuration_version() < peer.configuration
+}
+
 fn apply_answer(state: &State, from: SocketAddr, answer: Answer) {
     let mut changes = Vec::new();
     let mut replica = state.replica.lock();
     let Freshness {
         version: before,
         confirmed,
+        ..
     } = replica.freshness(Subject::Orders);
     let now = state.now();
     for (subject, update) in RELAYED_SUBJECTS.into_iter().zip(answer.updates) {
--- a/crates/entry/src/process/replica.rs
+++ b/crates/entry/src/process/replica.rs
@@ -26,7 +26,7 @@
 use hold::Held;
 use lineage::{Eras, Lineage};
 use std::{collections::VecDeque, sync::Arc, time::Duration};
-use update::StoreAnswer;
+use update::Received;
 
 /// How current the rows of a subject are.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -35,6 +35,10 @@
     pub version: u64,
     /// Last instant at which the store had no later change; `None` if never confirmed.
     pub confirmed: Option<Instant>,
+    /// The same instant by what other hosts say, if their messages were not delayed.
+    ///
+    /// It decides when this host asks the store by itself, never whether knowledge is current.
+    pub heard: Option<Instant>,
 }
 
 /// Change of a row, which the host then applies to its state.
@@ -67,8 +71,8 @@
     completeness: Completeness,
     /// Reading of the store's monotonic clock, and the instant of the reading.
     clock: Option<(Instant, Duration)>,
-    /// Recent answers of the store, for updates to hosts that do not follow it.
-    answers: VecDeque<StoreAnswer>,
+    /// Recent changes, for updates to hosts that do not follow the store.
+    received: VecDeque<Received>,
     /// Version up to which removed rows were pruned.
     removals_kept_after: u64,
     /// Rows that the store lost when it came back from an older copy, until they are written again.
@@ -112,6 +116,7 @@
         if let Some(freshness) = self.freshness_mut(subject) {
             freshness.version = freshness.version.max(version);
             freshness.confirmed = freshness.confirmed.max(Some(at));
+            freshness.heard = freshness.heard.max(Some(at));
         }
         if subject == Subject::Orders {
             self.completeness.confirm(at);
@@ -119,6 +124,13 @@
         self.eras.see(at, version);
     }
 
+    /// Records that, by what another host says, there was no later change at `at`.
+    pub fn hear(&mut self, subject: Subject, at: Instant) {
+        if let Some(freshness) = self.freshness_mut(subject) {
+            freshness.heard = freshness.heard.max(Some(at));
+        }
+    }
+
     fn freshness_mut(&mut self, subject: Subject) -> Option<&mut Freshness> {
         match subject {
             Subject::Orders => Some(&mut self.orders),
@@ -166,11 +178,13 @@
             .collect()
     }
 
-    /// Returns all rows as facts, as other hosts get them.
+    /// Returns the rows of a subject after a version as facts, as other hosts get them.
     ///
     /// Of a row that is held without certainty they get what the store has, and decide themselves.
-    fn facts(&self) -> Vec<Fact> {
-        let config = self.config.iter().map(|(version, config)| {
+    fn facts(&self, subject: Subject, after: u64) -> Vec<Fact> {
+        let config = self.config.iter();
+        let config = config.filter(|(version, _)| subject == Subject::Orders && *version > after);
+        let config = config.map(|(version, config)| {
             let item = Item::Config(Box::new(config.as_ref().clone()));
             Fact::new(*version, item)
         });
@@ -179,7 +193,8 @@
                 .held
                 .get(key)
                 .filter(|held| !held.is_shared(&fact.item));
-            local.map_or_else(|| Some(fact.clone()), |held| held.stored.clone())
+            let fact = local.map_or(Some(fact), |held| held.stored.as_ref())?;
+            (belongs(key, subject) && fact.version > after).then(|| fact.clone())
         });
         config.chain(rows).collect()
     }
--- a/crates/entry/src/process/replica/update.rs
+++ b/crates/entry/src/process/replica/update.rs
@@ -1,6 +1,6 @@
 //! Updates of a replica: what the store returned, and what hosts send to one another.
 
-use super::{Change, Replica, subject_of};
+use super::{Change, Replica};
 use crate::{
     era::Era,
     model::{Fact, Item},
@@ -12,16 +12,13 @@
 
 /// Time for which a change is included in updates to other hosts.
 const UPDATE_RETENTION: Duration = Duration::from_secs(3);
-/// Changes of a subject that the store returned in one answer.
+
+/// Changes of a subject that the store or another host has just sent.
 #[derive(Debug, Clone)]
-pub(super) struct StoreAnswer {
+pub(super) struct Received {
     at: Instant,
     subject: Subject,
-    /// Version of the store before the changes.
-    from: u64,
-    /// Version of the store after the changes.
-    to: u64,
-    facts: Vec<Fact>,
+    update: Update,
 }
 
 /// All changes of a subject between two versions of the store.
@@ -35,6 +32,17 @@
     pub facts: Vec<Fact>,
 }
 
+impl Update {
+    /// Returns the update that contains nothing, at a version.
+    pub const fn none(version: u64) -> Self {
+        Self {
+            after: version,
+            up_to: version,
+            facts: Vec::new(),
+        }
+    }
+}
+
 impl Replica {
     /// Applies an answer of the store, and keeps it for updates to other hosts.
     ///
@@ -46,26 +54,23 @@
         update: Update,
         at: Instant,
     ) -> Vec<Change> {
-        let Update {
-            after,
-            up_to,
-            facts,
-        } = update;
-        self.answers.push_back(StoreAnswer {
+        self.keep_received(now, subject, &update);
+        let changes = self.apply(now, update.facts);
+        self.confirm(subject, update.up_to, at);
+        changes
+    }
+
+    fn keep_received(&mut self, now: Instant, subject: Subject, update: &Update) {
+        self.received.push_back(Received {
             at: now,
             subject,
-            from: after,
-            to: up_to,
-            facts: facts.clone(),
+            update: update.clone(),
         });
-        while let Some(answer) = self.answers.front()
-            && now.since(answer.at) > UPDATE_RETENTION
+        while let Some(oldest) = self.received.front()
+            && now.since(oldest.at) > UPDATE_RETENTION
         {
-            self.answers.pop_front();
+            self.received.pop_front();
         }
-        let changes = self.apply(now, facts);
-        self.confirm(subject, up_to, at);
-        changes
     }
 
     /// Applies an update of another host.
@@ -81,44 +86,39 @@
         if freshness.version < update.after || freshness.version >= update.up_to {
             return None;
         }
+        self.keep_received(now, subject, &update);
         let changes = self.apply(now, update.facts);
         self.advance(subject, update.up_to);
         self.eras.see(now, update.up_to);
         Some(changes)
     }
 
-    /// Returns the most recent changes of a subject, at most `facts` of them.
+    /// Returns the recent changes of a subject in parts of at most about `bytes`, oldest first.
     ///
-    /// Configurations are too large for a message and end the update.
-    pub fn recent_update(&self, now: Instant, subject: Subject, facts: usize) -> Update {
+    /// Each part follows the one before it; the last one ends with the present version. There is
+    /// always a last part, which may be empty. Configurations are too large for a message, so that the
+    /// parts begin after them.
+    pub fn recent_updates(&self, now: Instant, subject: Subject, bytes: usize) -> Vec<Update> {
         let version = self.freshness(subject).version;
-        let mut update = Update {
-            after: version,
-            up_to: version,
-            facts: Vec::new(),
-        };
-        for answer in self
-            .answers
+        let recent = self.received.iter().filter(|it| {
+            let fits = |fact| size(fact).is_some_and(|size| size <= bytes);
+            let is_recent = now.since(it.at) <= UPDATE_RETENTION;
+            it.subject == subject && is_recent && it.update.facts.iter().all(fits)
+        });
+        let recent: Vec<&Update> = recent.map(|it| &it.update).collect();
+        let mut after = version;
+        let mut facts: Vec<&Fact> = Vec::new();
+        while let Some(update) = recent
             .iter()
-            .rev()
-            .filter(|answer| answer.subject == subject)
+            .filter(|update| update.after < after && after <= update.up_to)
+            .min_by_key(|update| update.after)
         {
-            let fits = update.facts.len() + answer.facts.len() <= facts;
-            let large = answer
-                .facts
-                .iter()
-                .any(|fact| matches!(fact.item, Item::Config(_)));
-            if now.since(answer.at) > UPDATE_RETENTION
-                || answer.to != update.after
-                || !fits
-                || large
-            {
-                break;
-            }
-            update.after = answer.from;
-            update.facts.extend(answer.facts.iter().cloned());
+            after = update.after;
+            facts.extend(&update.facts);
         }
-        update
+        facts.sort_by_key(|fact| fact.version);
+        facts.dedup();
+        split(after, version, &facts, bytes)
     }
 
     /// Returns all changes after a version of the store.
@@ -132,13 +132,10 @@
         } else {
             version
         };
-        let facts = self.facts().into_iter();
         Update {
             after,
             up_to: self.freshness(subject).version,
-            facts: facts
-                .filter(|fact| subject_of(fact) == subject && fact.version > after)
-                .collect(),
+            facts: self.facts(subject, after),
         }
     }
 
@@ -159,3 +156,37 @@
         update
     }
 }
+
+/// Returns the size of a fact in a message, in bytes; `None` if messages do not contain it.
+fn size(fact: &Fact) -> Option<usize> {
+    if matches!(fact.item, Item::Config(_)) {
+        return None;
+    }
+    rmp_serde::to_vec(fact).ok().map(|bytes| bytes.len())
+}
+
+/// Divides the changes between two versions into parts of at most about `bytes`.
+///
+/// A part ends between two versions, since a host that has it counts as having all up to its end.
+fn split(after: u64, up_to: u64, facts: &[&Fact], bytes: usize) -> Vec<Update> {
+    let mut parts = Vec::new();
+    let mut part = Update::none(after);
+    let mut used = 0;
+    for of_version in facts.chunk_by(|one, other| one.version == other.version) {
+        let needed: usize = of_version.iter().filter_map(|fact| size(fact)).sum();
+        if used + needed > bytes && !part.facts.is_empty() {
+            let next = Update::none(part.up_to);
+            parts.push(std::mem::replace(&mut part, next));
+            used = 0;
+        }
+        used += needed;
+        part.facts.extend(of_version.iter().copied().cloned());
+        part.up_to = of_version[0].version;
+    }
+    part.up_to = up_to;
+    parts.push(part);
+    parts
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/entry/src/process/state.rs
+++ b/crates/entry/src/process/state.rs
@@ -14,7 +14,14 @@
 };
 use arc_swap::{ArcSwap, ArcSwapOption, Guard};
 use azurenotch_core::{
-    process::{election, presence::Presence, quota::Quota, retry, senders::Place, warmup},
+    process::{
+        election::{self, Candidate, Path, Role},
+        presence::Presence,
+        quota::Quota,
+        retry,
+        senders::Place,
+        warmup,
+    },
     request::body_memory::Account,
     version::slew,
 };
@@ -29,7 +36,7 @@
 use std::{
     sync::{
         Arc, OnceLock,
-        atomic::{AtomicBool, AtomicU8, Ordering},
+        atomic::{AtomicBool, Ordering},
     },
     time::Duration,
 };
@@ -46,6 +53,10 @@
 const MAX_CONTACT_TIME: Duration = Duration::from_millis(150);
 /// Longest time after the first start of the whole system until one host has read the rows.
 const MAX_FIRST_READ_TIME: Duration = Duration::from_secs(3);
+/// Time for which an answer of the store proves the way to it; longer than a wait of the standby.
+const PROVEN_PATH_TIME: Duration = Duration::from_millis(4_500);
+/// Time after which a host whose last call failed may be asked to try again.
+const LOST_PATH_TIME: Duration = Duration::from_secs(10);
 /// Share of the memory for all buffered request bodies and answers together.
 const BODY_MEMORY_SHARE: f64 = 0.4;
 
@@ -82,6 +93,39 @@
     }
 }
 
+/// Last calls to the store, by subject.
+#[derive(Debug, Default)]
+struct Calls {
+    /// When a call was answered last, and when one failed last.
+    by_subject: Map<Subject, (Option<Instant>, Option<Instant>)>,
+}
+
+impl Calls {
+    fn record(&mut self, now: Instant, subject: Subject, answered: bool) {
+        let (last_answer, last_failure) = self.by_subject.entry(subject).or_default();
+        if answered {
+            (*last_answer, *last_failure) = (Some(now), None);
+        } else {
+            *last_failure = Some(now);
+        }
+    }
+
+    fn path(&self, now: Instant) -> Path {
+        let is_recent = |at: Option<Instant>, age| at.is_some_and(|at| now.since(at) < age);
+        let mut calls = self.by_subject.values();
+        if calls
+            .clone()
+            .any(|(_, failed)| is_recent(*failed, LOST_PATH_TIME))
+        {
+            return Path::Lost;
+        }
+        if calls.any(|(answered, _)| is_recent(*answered, PROVEN_PATH_TIME)) {
+            return Path::Proven;
+        }
+        Path::Untried
+    }
+}
+
 /// State that the requests and the control tasks of one host share.
 #[derive(Debug)]
 pub struct State {
@@ -104,6 +148,8 @@
     pub workspaces_by_hash: Mutex<Map<u32, Workspace>>,
     /// Starts a round of messages at once, when other hosts should receive a change.
     pub gossip_wakeup: Notify,
+    /// Sends changes of the rows at once, to the hosts that get them from this one.
+    pub update_wakeup: Notify,
     /// Limit on how fast requests move between regions.
     pub slew: Mutex<slew::Limiter>,
     /// Other hosts.
@@ -116,8 +162,8 @@
     pub cutoff: CancellationToken,
     /// When the addresses of the other hosts were read from the store.
     joined: OnceLock<Instant>,
-    /// One bit per subject, set while the last call to the store about it failed.
-    failed_subjects: AtomicU8,
+    /// Last calls to the store.
+    calls: Mutex<Calls>,
     /// Whether keys were accepted when that was last logged.
     trusted_keys: AtomicBool,
     /// Whether a backend server has ever named a limit, so that answers without one matter.
@@ -155,12 +201,13 @@
             quotas: Mutex::default(),
             workspaces_by_hash: Mutex::default(),
             gossip_wakeup: Notify::new(),
+            update_wakeup: Notify::new(),
             slew: Mutex::default(),
             membership: Mutex::new(membership),
             stop: OnceLock::new(),
             cutoff: CancellationToken::new(),
             joined: OnceLock::new(),
-            failed_subjects: AtomicU8::new(0),
+            calls: Mutex::default(),
             trusted_keys: AtomicBool::new(false),
             has_limits: AtomicBool::new(false),
             setting: ArcSwap::from_pointee(setting),
@@ -279,12 +326,20 @@
         self.membership.lock().presence.count()
     }
 
-    /// Returns whether this host follows the store for the other hosts.
-    pub fn follows_store(&self, now: Instant) -> bool {
+    /// Returns this host's part in reading the store for all hosts.
+    pub fn store_role(&self, now: Instant) -> Role {
         let membership = self.membership.lock();
-        let hosts = membership.presence.reachable(now);
-        let hosts = hosts.map(|host| (host, membership.presence.reaches_store(host)));
-        election::is_store_reader(&self.own.host, self.reaches_store(), hosts)
+        let own = Candidate {
+            host: &self.own.host,
+            region: &self.own.region,
+            path: self.store_path(now),
+        };
+        let others = membership.presence.reachable(now).filter_map(|host| {
+            let region = &membership.peers.get(host)?.region;
+            let path = membership.presence.path(host);
+            Some(Candidate { host, region, path })
+        });
+        election::role(own, others)
     }
 
     /// Records that the addresses of the other hosts were read from the store.
@@ -312,19 +367,20 @@
         }
     }
 
-    /// Returns whether the store answered the last call about every subject.
-    pub fn reaches_store(&self) -> bool {
-        self.failed_subjects.load(Ordering::Relaxed) == 0
+    /// Returns what is known of this host's way to the store.
+    pub fn store_path(&self, now: Instant) -> Path {
+        self.calls.lock().path(now)
     }
 
     /// Records whether the store answered a call about a subject.
     ///
     /// The first failure is sent to the other hosts at once.
     pub fn record_store_call(&self, subject: Subject, answered: bool) {
-        let bit = 1 << subject as u8;
-        if answered {
-            self.failed_subjects.fetch_and(!bit, Ordering::Relaxed);
-        } else if self.failed_subjects.fetch_or(bit, Ordering::Relaxed) == 0 {
+        let now = self.now();
+        let mut calls = self.calls.lock();
+        let former = calls.path(now);
+        calls.record(now, subject, answered);
+        if former != Path::Lost && calls.path(now) == Path::Lost {
             self.gossip_wakeup.notify_one();
         }
     }
--- a/crates/entry/src/setting.rs
+++ b/crates/entry/src/setting.rs
@@ -4,6 +4,7 @@
     ini::{self, Errors, Invalid, Section},
     value::{Flag, List},
 };
+use azurenotch_core::process::passage::{self, Passage};
 use azurenotch_wire::{
     Map,
     id::{DataCentre, Host as HostName, Region},
@@ -100,6 +101,20 @@
     pub take_back: Duration,
 }
 
+impl Bounds {
+    /// Returns the time limits of the way of a change to this host.
+    pub fn passage(&self) -> Passage {
+        let Self {
+            adoption,
+            drain,
+            take_back,
+            withdrawal,
+            ..
+        } = *self;
+        Passage::new([adoption, drain, take_back, withdrawal])
+    }
+}
+
 impl Setting {
     /// Returns the settings in force after a reload without a restart.
     ///
@@ -227,18 +242,21 @@
 }
 
 fn read_bounds(section: &mut Section<'_>, errors: &mut Errors) -> Option<Bounds> {
-    let mut time = |name, default| {
-        let value = section.default_in(name, default, 0.0..=MAX_DURATION_S, errors);
+    let mut time_from = |name, default, least| {
+        let value = section.default_in(name, default, least..=MAX_DURATION_S, errors);
         value.map(Duration::from_secs_f64)
     };
+    // Hosts cannot learn of a change in less.
+    let least = passage::MIN_BOUND.as_secs_f64();
+    let withdrawal = time_from("withdrawal-s", 5.0, least);
+    let adoption = time_from("adoption-s", 2.5, least);
+    let drain = time_from("drain-s", 2.5, least);
+    let take_back = time_from("take-back-s", 5.0, least);
+    let mut time = |name, default| time_from(name, default, 0.0);
     let contact = time("contact-s", 4.0);
-    let withdrawal = time("withdrawal-s", 5.0);
-    let adoption = time("adoption-s", 2.5);
     let grace = time("grace-s", 6.0);
-    let drain = time("drain-s", 2.5);
     let look_up = time("look-up-s", 5.0);
     let repeat_window = time("repeat-window-s", 10.0);
-    let take_back = time("take-back-s", 5.0);
     let mut number = |name, default| section.default_in(name, default, 0.0..=1e9, errors);
     let repeat_ratio = number("repeat-ratio", 0.2);
     let repeat_slack = number("repeat-slack", 64.0);
