fix(platform): an odd row among those of the servers costs that row alone

Not seen: nesting to 20,000, numbers beyond every type, fields twice, ports out of range, no JSON: such a row is passed over, the others hold, and the repaired row counts at once. Cause: a row that decodes was taken to make sense.

--- a/crates/core/src/version/placement/entry.rs
+++ b/crates/core/src/version/placement/entry.rs
@@ -387,7 +387,7 @@
     pub(super) fn load(&self, now: Instant) -> f64 {
         let reported = self.reported.map_or(0.0, |ReportedLoad { at, load, .. }| {
             let age = now.since(at).as_secs_f64();
-            f64::from(load.running + load.waiting) * (-age / LOAD_HALF_LIFE_S).exp2()
+            (f64::from(load.running) + f64::from(load.waiting)) * (-age / LOAD_HALF_LIFE_S).exp2()
         });
         f64::from(self.in_flight).max(reported + f64::from(self.sent_since.min(self.in_flight)))
     }
--- a/crates/entry/src/model.rs
+++ b/crates/entry/src/model.rs
@@ -4,6 +4,7 @@
     Map,
     id::{DataCentre, Host, Region, Release, Route as RouteName, Server, Service, Workspace},
 };
+use derive_more::Display;
 use serde::{Deserialize, Serialize};
 use std::{net::SocketAddr, time::Duration};
 
@@ -129,6 +130,61 @@
     pub born_ms: Option<u64>,
 }
 
+/// Field of a listing whose value no backend server can have.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum Implausible {
+    /// A name is longer than [`Backend::MAX_NAME_BYTES`].
+    #[display("name")]
+    Name,
+    /// The address is not one that can be connected to.
+    #[display("address")]
+    Address,
+    /// More slots than [`Backend::MAX_SLOTS`].
+    #[display("slots")]
+    Slots,
+    /// Cold for longer than [`Backend::MAX_COLD`].
+    #[display("time until warm")]
+    Cold,
+}
+
+impl Backend {
+    /// Largest number of bytes of a name, as in keys of the store.
+    pub const MAX_NAME_BYTES: usize = 200;
+    /// Largest number of requests that a server may run concurrently.
+    pub const MAX_SLOTS: u32 = 1 << 16;
+    /// Longest time for which a server may be cold.
+    pub const MAX_COLD: Duration = Duration::from_hours(24);
+
+    /// Checks that the values are such as a backend server can have.
+    ///
+    /// A value beyond them would pass through sums, messages and time limits that have no room for it.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first field whose value is implausible.
+    pub fn check(&self) -> Result<(), Implausible> {
+        let names = [
+            self.service.as_str(),
+            self.data_centre.as_str(),
+            self.release.as_str(),
+        ];
+        if names.iter().any(|name| name.len() > Self::MAX_NAME_BYTES) {
+            return Err(Implausible::Name);
+        }
+        let ip = self.address.ip();
+        if self.address.port() == 0 || ip.is_unspecified() || ip.is_multicast() {
+            return Err(Implausible::Address);
+        }
+        if self.slots > Self::MAX_SLOTS {
+            return Err(Implausible::Slots);
+        }
+        if self.cold > Self::MAX_COLD {
+            return Err(Implausible::Cold);
+        }
+        Ok(())
+    }
+}
+
 /// Operator's order to move a service to another version.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Move {
