test(entry): departures reach all hosts in time in a search over schedules of faults

Change: what decides whether a host follows the store is a module of its own (core::process::follow), and a search in virtual time drives it with roles, passage, spread, replicas and messages: readers and up to 60 percent of the hosts freeze, die, lose answers or are refused, in series and overlapping, while 1 to 60 servers leave at once, also in the moment of the fault; one message in a hundred is lost. Each host that runs, has a path and had no fault for 4 s has to know of a departure within 0.85 of the bound. Four faults put in on purpose are found: the former limit of 3 s, one successor alone, a lost answer that confirms, confirmations without an age. Not found, since another mechanism makes up for them: takeovers that wait at the store, unproven hosts that read first, lost parts that are not sent again.

--- a/crates/core/src/process/election.rs
+++ b/crates/core/src/process/election.rs
@@ -15,13 +15,13 @@
 /// Delay between the attempts of two hosts; long enough for a call to the store and its reply.
 const WRITE_TURN_DELAY: Duration = Duration::from_millis(400);
 
-/// What is known of a host's way to the store.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+/// What is known of a host's way to the store; of several subjects, the greatest counts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Path {
-    /// The store has answered it lately.
-    Proven,
     /// It has made no call lately.
     Untried,
+    /// The store has answered it lately.
+    Proven,
     /// The store has not answered its last call.
     Lost,
 }
--- a/crates/core/src/process/mod.rs
+++ b/crates/core/src/process/mod.rs
@@ -5,6 +5,7 @@
 pub mod budget;
 pub mod echo;
 pub mod election;
+pub mod follow;
 pub mod freshness;
 pub mod lease;
 pub mod membership;
--- a/crates/entry/src/process/feed.rs
+++ b/crates/entry/src/process/feed.rs
@@ -9,9 +9,8 @@
         state::State,
     },
 };
-use azurenotch_core::process::{election::Role, passage};
+use azurenotch_core::process::{election::Role, follow::Reason, passage};
 use azurenotch_wire::time::Instant;
-use derive_more::Display;
 use rand::random_range;
 use slog::{info, warn};
 use std::{sync::Arc, time::Duration};
@@ -22,10 +21,6 @@
 const FOLLOW_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Pause of the standby after changes.
 const STANDBY_PAUSE: Duration = Duration::from_millis(250);
-/// Age of the last proven confirmation from which a host follows the store itself.
-///
-/// Leaves time for two tries within the bound `withdrawal-s`.
-const MAX_CONFIRMATION_AGE: Duration = Duration::from_secs(3);
 /// Back-off after the first failure, doubled with each further one in a row.
 const MIN_BACKOFF: Duration = Duration::from_millis(150);
 /// Maximum back-off of the hosts that follow the store for others.
@@ -68,28 +63,6 @@
     role: Role,
 }
 
-/// Why a host follows the store.
-///
-/// The displayed names are fields of log lines.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
-enum Reason {
-    /// It reads the store for the other hosts.
-    #[display("reader")]
-    Reader,
-    /// It waits for changes beside the reader.
-    #[display("standby")]
-    Standby,
-    /// No host has confirmed its rows for so long that this one takes over.
-    #[display("takeover")]
-    Takeover,
-    /// The age of the last confirmation that other hosts have proven.
-    #[display("confirmation-age")]
-    ConfirmationAge,
-    /// It holds rows that the store has lost.
-    #[display("held-rows")]
-    HeldRows,
-}
-
 impl Feed {
     async fn follow(&mut self) {
         loop {
@@ -231,34 +204,19 @@
 
     /// Returns why this host has to follow the store; `None` if it relies on others.
     fn reason_to_follow(&self, now: Instant, freshness: Freshness) -> Option<Reason> {
-        let Freshness {
-            confirmed, heard, ..
-        } = freshness;
-        if confirmed.is_none() && self.state.awaits_first_read(now) {
+        if freshness.confirmed.is_none() && self.state.awaits_first_read(now) {
             let elected = self.state.knows_others(now) && self.role == Role::Reader;
             return elected.then_some(Reason::Reader);
         }
-        if self.role == Role::Reader {
-            return Some(Reason::Reader);
-        }
-        if self.is_impatient(now, heard) {
-            return Some(Reason::Takeover);
-        }
-        if confirmed.is_none_or(|at| now.since(at) > MAX_CONFIRMATION_AGE) {
-            return Some(Reason::ConfirmationAge);
-        }
-        if self.role == Role::Standby {
-            return Some(Reason::Standby);
-        }
-        // Only a host that has read the store knows which rows it has to read again.
-        let holds = self.state.replica.lock().has_holds(self.subject);
-        holds.then_some(Reason::HeldRows)
-    }
-
-    /// Returns whether this host has heard of no confirmation for longer than its role permits.
-    fn is_impatient(&self, now: Instant, heard: Option<Instant>) -> bool {
-        let patience = self.state.setting().bounds.passage().patience(self.role);
-        heard.is_none_or(|at| now.since(at) > patience)
+        let passage = self.state.setting().bounds.passage();
+        let reason = freshness
+            .knowledge()
+            .reason_to_follow(now, self.role, &passage);
+        reason.or_else(|| {
+            // Only a host that has read the store knows which rows it has to read again.
+            let holds = self.state.replica.lock().has_holds(self.subject);
+            holds.then_some(Reason::HeldRows)
+        })
     }
 
     /// Waits until the standby takes over from the reader.
@@ -266,8 +224,12 @@
         loop {
             sleep(FOLLOW_CHECK_INTERVAL).await;
             let now = self.state.now();
-            let heard = self.state.replica.lock().freshness(self.subject).heard;
-            if self.is_impatient(now, heard) || self.state.store_role(now) == Role::Reader {
+            let passage = self.state.setting().bounds.passage();
+            let freshness = self.state.replica.lock().freshness(self.subject);
+            let overdue = freshness
+                .knowledge()
+                .is_overdue(now, Role::Standby, &passage);
+            if overdue || self.state.store_role(now) == Role::Reader {
                 return;
             }
         }
--- a/crates/entry/src/process/gossip.rs
+++ b/crates/entry/src/process/gossip.rs
@@ -451,3 +451,6 @@
     let factor = u32::try_from(hosts / HOSTS_PER_BASE_ROUND).unwrap_or(1);
     (BASE_ROUND_INTERVAL * factor.max(1)).min(MAX_ROUND_INTERVAL)
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/entry/src/process/replica.rs
+++ b/crates/entry/src/process/replica.rs
@@ -16,6 +16,7 @@
     model::{Config, Fact, Item, Outcome},
     platform::Subject,
 };
+use azurenotch_core::process::follow::Knowledge;
 use azurenotch_wire::{
     Map,
     id::{DataCentre, Server, Service},
@@ -41,6 +42,16 @@
     pub heard: Option<Instant>,
 }
 
+impl Freshness {
+    /// Returns what decides whether the host follows the store.
+    pub const fn knowledge(&self) -> Knowledge {
+        Knowledge {
+            confirmed: self.confirmed,
+            heard: self.heard,
+        }
+    }
+}
+
 /// Change of a row, which the host then applies to its state.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Change {
--- a/crates/entry/src/process/state.rs
+++ b/crates/entry/src/process/state.rs
@@ -16,6 +16,7 @@
 use azurenotch_core::{
     process::{
         election::{self, Candidate, Path, Role},
+        follow::Calls,
         presence::Presence,
         quota::Quota,
         retry,
@@ -53,10 +54,6 @@
 const MAX_CONTACT_TIME: Duration = Duration::from_millis(150);
 /// Longest time after the first start of the whole system until one host has read the rows.
 const MAX_FIRST_READ_TIME: Duration = Duration::from_secs(3);
-/// Time for which an answer of the store proves the way to it; longer than a wait of the standby.
-const PROVEN_PATH_TIME: Duration = Duration::from_millis(4_500);
-/// Time after which a host whose last call failed may be asked to try again.
-const LOST_PATH_TIME: Duration = Duration::from_secs(10);
 /// Share of the memory for all buffered request bodies and answers together.
 const BODY_MEMORY_SHARE: f64 = 0.4;
 
@@ -93,39 +90,6 @@
     }
 }
 
-/// Last calls to the store, by subject.
-#[derive(Debug, Default)]
-struct Calls {
-    /// When a call was answered last, and when one failed last.
-    by_subject: Map<Subject, (Option<Instant>, Option<Instant>)>,
-}
-
-impl Calls {
-    fn record(&mut self, now: Instant, subject: Subject, answered: bool) {
-        let (last_answer, last_failure) = self.by_subject.entry(subject).or_default();
-        if answered {
-            (*last_answer, *last_failure) = (Some(now), None);
-        } else {
-            *last_failure = Some(now);
-        }
-    }
-
-    fn path(&self, now: Instant) -> Path {
-        let is_recent = |at: Option<Instant>, age| at.is_some_and(|at| now.since(at) < age);
-        let mut calls = self.by_subject.values();
-        if calls
-            .clone()
-            .any(|(_, failed)| is_recent(*failed, LOST_PATH_TIME))
-        {
-            return Path::Lost;
-        }
-        if calls.any(|(answered, _)| is_recent(*answered, PROVEN_PATH_TIME)) {
-            return Path::Proven;
-        }
-        Path::Untried
-    }
-}
-
 /// State that the requests and the control tasks of one host share.
 #[derive(Debug)]
 pub struct State {
@@ -163,7 +127,7 @@
     /// When the addresses of the other hosts were read from the store.
     joined: OnceLock<Instant>,
     /// Last calls to the store.
-    calls: Mutex<Calls>,
+    calls: Mutex<Map<Subject, Calls>>,
     /// Whether keys were accepted when that was last logged.
     trusted_keys: AtomicBool,
     /// Whether a backend server has ever named a limit, so that answers without one matter.
@@ -369,7 +333,9 @@
 
     /// Returns what is known of this host's way to the store.
     pub fn store_path(&self, now: Instant) -> Path {
-        self.calls.lock().path(now)
+        let calls = self.calls.lock();
+        let paths = calls.values().map(|calls| calls.path(now));
+        paths.max().unwrap_or(Path::Untried)
     }
 
     /// Records whether the store answered a call about a subject.
@@ -377,10 +343,11 @@
     /// The first failure is sent to the other hosts at once.
     pub fn record_store_call(&self, subject: Subject, answered: bool) {
         let now = self.now();
+        let former = self.store_path(now);
         let mut calls = self.calls.lock();
-        let former = calls.path(now);
-        calls.record(now, subject, answered);
-        if former != Path::Lost && calls.path(now) == Path::Lost {
+        calls.entry(subject).or_default().record(now, answered);
+        drop(calls);
+        if former != Path::Lost && self.store_path(now) == Path::Lost {
             self.gossip_wakeup.notify_one();
         }
     }
