--- a/crates/entry/src/process/gossip/tests.rs
+++ b/crates/entry/src/process/gossip/tests.rs
@@ -3,26 +3,19 @@
 //! The decisions are those of the hosts: roles, waits, takeovers, receivers and parts. Sockets and tasks
 //! are replaced by a queue of events.
 
+mod host;
+
 use super::{MAX_UPDATE_BYTES, UPDATE_SUBJECTS, contact::Contact, updates::Updates};
-use crate::{
-    model::{Backend, Fact, Item},
-    platform::Subject,
-    process::replica::{Replica, Update},
-};
+use crate::{model::Fact, platform::Subject, process::replica::Update};
 use azurenotch_core::process::{
     echo::Echo,
     election::{self, Candidate, Path, Role},
-    follow::{Calls, Reason},
+    follow::Reason,
     passage::{self, Passage},
-    presence::{Presence, Status},
     spread,
 };
-use azurenotch_wire::{
-    Map,
-    hash::hash64,
-    id::{DataCentre, Host as Name, Region},
-    time::Instant,
-};
+use azurenotch_wire::{Map, hash::hash64, time::Instant};
+use host::{Call, Event, Fault, Host, Message, row, status};
 use rand::{Rng, SeedableRng, rngs::SmallRng, seq::IndexedRandom};
 use std::{cmp::Reverse, collections::BinaryHeap, env, time::Duration};
 use test_case::test_case;
@@ -72,72 +65,6 @@
     OneSuccessor,
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Fault {
-    Frozen,
-    Dead,
-    /// The store's answers do not arrive.
-    Silent,
-    /// The store refuses calls.
-    Refused,
-}
-
-/// What happens at an instant.
-#[derive(Debug)]
-enum Event {
-    /// A host looks at what it has to do.
-    Step(usize),
-    /// A host sends changes to its receivers.
-    Send(usize),
-    /// An answer of the store, or the end of the wait for it, to the call with this number.
-    Answer(usize, u64),
-    /// Messages that arrive together.
-    Message(usize, Box<Message>),
-    /// The answer of another host to a request for newer rows.
-    Rows(usize, usize),
-}
-
-#[derive(Debug)]
-struct Message {
-    from: usize,
-    sent: Instant,
-    echo: Option<Echo>,
-    path: Path,
-    version: u64,
-    confirmed: Option<Instant>,
-    updates: Option<[Update; 2]>,
-}
-
-#[derive(Debug)]
-struct Call {
-    number: u64,
-    after: u64,
-    started: Instant,
-    wait: Duration,
-    reason: Reason,
-}
-
-#[derive(Debug)]
-struct Host {
-    name: Name,
-    data_centre: DataCentre,
-    region: Region,
-    replica: Replica,
-    presence: Presence,
-    contacts: Map<usize, Contact>,
-    calls: Calls,
-    call: Option<Call>,
-    /// Until when it does not call after a failure.
-    pause: Instant,
-    next_round: Instant,
-    /// Whether it is about to send to its receivers.
-    wakes: bool,
-    requests: bool,
-    fault: Option<(Fault, Instant)>,
-    /// Last instant at which it had a fault.
-    disturbed: Option<Instant>,
-}
-
 #[derive(Debug)]
 struct Search {
     case: Case,
@@ -153,51 +80,6 @@
     numbers: u64,
 }
 
-fn row(version: u64, server: usize, listed: bool) -> Fact {
-    let backend = Backend {
-        service: "s".into(),
-        address: "127.0.0.1:80".parse().expect("valid address"),
-        data_centre: "a".into(),
-        release: "v1".into(),
-        slots: 9,
-        draining: false,
-        cold: Duration::ZERO,
-        born_ms: None,
-    };
-    let item = Item::Backend(format!("i-{server}").into(), listed.then_some(backend));
-    Fact::new(version, item)
-}
-
-impl Host {
-    fn new(index: usize, case: &Case, now: Instant) -> Self {
-        let data_centre = index % case.data_centres;
-        Self {
-            name: format!("h{index}").into(),
-            data_centre: format!("z{data_centre}").into(),
-            region: format!("r{}", data_centre % 3).into(),
-            replica: Replica::default(),
-            presence: Presence::default(),
-            contacts: Map::default(),
-            calls: Calls::default(),
-            call: None,
-            pause: now,
-            next_round: now,
-            wakes: false,
-            requests: false,
-            fault: None,
-            disturbed: Some(now),
-        }
-    }
-
-    fn runs(&self) -> bool {
-        !matches!(self.fault, Some((Fault::Frozen | Fault::Dead, _)))
-    }
-
-    fn version(&self) -> u64 {
-        self.replica.freshness(SERVERS).version
-    }
-}
-
 impl Search {
     fn new(case: Case, seed: u64) -> Self {
         let mut random = SmallRng::seed_from_u64(seed);
@@ -207,7 +89,7 @@
             passage: Passage::new([Duration::from_millis(case.bound_ms)]),
             now,
             hosts: (0..case.hosts)
-                .map(|it| Host::new(it, &case, now))
+                .map(|it| Host::new(it, case.data_centres, now))
                 .collect(),
             queue: BinaryHeap::new(),
             events: Map::default(),
@@ -325,7 +207,7 @@
 
     fn restart(&mut self, host: usize) {
         let former = &self.hosts[host];
-        let mut next = Host::new(host, &self.case, self.now);
+        let mut next = Host::new(host, self.case.data_centres, self.now);
         next.name = former.name.clone();
         self.hosts[host] = next;
         let rows = self.rows.iter().map(|(_, fact)| fact.clone()).collect();
@@ -622,15 +504,6 @@
     }
 }
 
-fn status(path: Path) -> Status {
-    Status {
-        incarnation: 1,
-        serving: true,
-        leaving: false,
-        path,
-    }
-}
-
 /// Returns the first seed of which a schedule has a late host, with what was late.
 fn search(case: Case) -> Option<(u64, String)> {
     let seeds = env::var("SEARCH_SEEDS").ok().and_then(|it| it.parse().ok());
--- a/crates/entry/src/process/gossip/updates.rs
+++ b/crates/entry/src/process/gossip/updates.rs
@@ -35,16 +35,8 @@
     /// Pairs the parts of both subjects, which end with `versions`.
     pub(super) fn new(recent: [Vec<Update>; 2], versions: [u64; 2]) -> Self {
         let count = recent.iter().map(Vec::len).max().unwrap_or(0);
+        let rest = [0, 1].map(|subject| rest(&recent[subject], versions[subject]));
         let [orders, servers] = recent;
-        let mut rest = [orders.last(), servers.last()].map(|last| {
-            let last_change = last.and_then(|part| part.facts.last().map(|fact| fact.version));
-            last_change.or_else(|| last.map(|part| part.after))
-        });
-        let rest = std::array::from_fn(|index| Update {
-            after: rest[index].take().unwrap_or(versions[index]),
-            up_to: versions[index],
-            facts: Vec::new(),
-        });
         let pad = |parts: Vec<Update>, version: u64| {
             let missing = count - parts.len();
             let none = std::iter::repeat_n(Update::none(version), missing);
@@ -65,3 +57,13 @@
         }
     }
 }
+
+/// Returns the update that follows the last change among the parts, and has none.
+fn rest(parts: &[Update], version: u64) -> Update {
+    let last_change = |part: &Update| part.facts.last().map_or(part.after, |fact| fact.version);
+    Update {
+        after: parts.last().map_or(version, last_change),
+        up_to: version,
+        facts: Vec::new(),
+    }
+}
