--- a/review/common/stand_in.py
+++ b/review/common/stand_in.py
@@ -7,13 +7,15 @@
 import base64
 import json
 import os
-import random
+import shutil
 import signal
 import socket
+import subprocess
 import sys
 import tempfile
 import time
 from pathlib import Path
+from urllib.parse import parse_qs, urlsplit
 
 ROOT = Path(__file__).resolve().parents[2]
 PROGRAM = ROOT / 'target' / 'release' / 'azurenotchd'
@@ -218,7 +220,6 @@
         return answer(status, headers, json.dumps(body).encode())
 
     async def handle(self, method, target, headers, body, writer):
-        from urllib.parse import parse_qs, urlsplit
         url = urlsplit(target)
         query = {name: values[0] for name, values in parse_qs(url.query, keep_blank_values=True).items()}
         if url.path == '/api/rows-get':
@@ -350,15 +351,15 @@
         path = self.fleet.folder / f'{self.name}.ini'
         path.write_text(self.settings(first))
         log = open(self.fleet.folder / f'{self.name}.log', 'a')
-        self.process = await asyncio.create_subprocess_exec(
-            str(PROGRAM), 'entry', '--settings', str(path), stdin=asyncio.subprocess.DEVNULL,
-            stdout=log, stderr=log, cwd=ROOT)
+        command = [str(PROGRAM), 'entry', '--settings', str(path)]
+        self.process = subprocess.Popen(command, stdin=subprocess.DEVNULL, stdout=log, stderr=log, cwd=ROOT)
+        log.close()
         self.fleet.record.write(f'{self.name} starts')
 
     async def kill(self):
-        if self.process is not None and self.process.returncode is None:
+        if self.process is not None and self.process.poll() is None:
             self.process.send_signal(signal.SIGKILL)
-            await self.process.wait()
+            self.process.wait()
             self.fleet.record.write(f'{self.name} is killed')
 
     async def is_ready(self):
@@ -394,7 +395,6 @@
     async def end(self):
         for machine in self.machines:
             await machine.kill()
-        import shutil
         if os.environ.get('KEEP'):
             print('logs in', self.folder)
         else:
