feat(entry): the line of an answer has the time of its request and what was left of it

Cause: the log could not tell an answer that the host gave at the end of the caller's time from one that it gave before, and had no line for a request whose caller left. Change: request: answered has time-ms and time-left-us; request: caller left is new.

--- a/crates/entry/src/request/handler.rs
+++ b/crates/entry/src/request/handler.rs
@@ -90,6 +90,21 @@
     route: String,
     workspace: String,
     version: u64,
+    /// Time for an answer: the caller's, or that of the route if it is shorter.
+    time: Option<Duration>,
+    /// Whether there is an answer; otherwise the caller has left before.
+    finished: bool,
+}
+
+impl Drop for Exchange<'_> {
+    fn drop(&mut self) {
+        if !self.finished {
+            let now = self.state.now();
+            info!(self.state.log(), "request: caller left"; "id" => &self.id, "route" => &self.route,
+                "ms" => now.since(self.arrived).as_millis() as u64, "time-ms" => self.time.map(ms),
+                "stop-left-ms" => self.state.time_to_stop(now).map(ms));
+        }
+    }
 }
 
 impl<'a> Exchange<'a> {
@@ -105,6 +120,8 @@
             route: String::new(),
             workspace: String::new(),
             version: 0,
+            time: None,
+            finished: false,
         }
     }
 
@@ -133,6 +150,7 @@
         let protocol = self.state.dependencies.format.protocol();
         let caller_timeout = head::caller_timeout(request.headers(), protocol);
         let timeout = caller_timeout.map_or(route.timeout, |it| it.min(route.timeout));
+        self.time = Some(timeout);
         let repeatable = route.kind.is_repeatable();
         let route_hash = grant.entry.hash;
         let pending = Pending {
@@ -242,7 +260,8 @@
     }
 
     /// Logs and counts the outcome, and returns the answer.
-    fn finish(&self, outcome: Outcome) -> Response<Body> {
+    fn finish(mut self, outcome: Outcome) -> Response<Body> {
+        self.finished = true;
         let latency = self.state.now().since(self.arrived);
         let status = outcome.response.status().as_u16();
         let reason = outcome.reason.map(|reason| reason.to_string());
@@ -250,12 +269,13 @@
         let metrics = &self.state.metrics;
         metrics.count_answer(&self.route, status, reason, latency);
         let candidate = outcome.candidate.as_ref();
-        let ms = |time: Duration| time.as_millis() as u64;
+        let left_us = |time: Duration| time.as_micros() as i64 - latency.as_micros() as i64;
         let estimate = candidate.map(|candidate| &candidate.estimate);
         let line = o!(
             "id" => &self.id, "status" => status, "reason" => reason, "ran" => outcome.ran,
             "route" => &self.route, "workspace" => &self.workspace,
             "configuration" => self.version, "sends" => outcome.sends, "ms" => ms(latency),
+            "time-ms" => self.time.map(ms), "time-left-us" => self.time.map(left_us),
             "connection-ms" => ms(self.arrived.since(self.accepted)),
             "lag-ms" => (metrics.lag.get() * 1e3) as u64,
             "stop-left-ms" => self.state.time_to_stop(self.arrived).map(ms),
@@ -280,6 +300,10 @@
     }
 }
 
+fn ms(time: Duration) -> u64 {
+    time.as_millis() as u64
+}
+
 /// Measures the time until the end of the answer, unless it shows nothing of the route's work.
 ///
 /// A failure or a rejection may come far sooner than an answer, or later.
