fix(entry): a host waits for the answer that is due at the deadline

Cause: three clocks counted the same time, the caller's from its last byte, the host's from the header, the server's from the arrival there, and the host gave up at the very moment at which its own ran out. It overtook the server's answer and callers that still waited. Change: servers are given the same time as before; the host waits 100 ms longer for their answer, whole or streamed, in both assemblies. During a stop the time that servers are given ends 100 ms before the cutoff for the same reason. A server's 504 at the end of its time counts for placement, moves and the forecast like the timeout that it is, since callers choose that time.

--- a/crates/core/src/request/deadline.rs
+++ b/crates/core/src/request/deadline.rs
@@ -3,6 +3,13 @@
 use azurenotch_wire::time::Instant;
 use std::time::Duration;
 
+/// Time after the deadline of a request for which a host still waits for the answer.
+///
+/// The same time was given to the server, which counts it from the arrival of the request, and the caller
+/// counts it from its last byte. A host that gave up at the deadline would overtake both: the server's
+/// own answer at the end of its time, and a caller that still waits.
+pub const ANSWER_ALLOWANCE: Duration = Duration::from_millis(100);
+
 /// Point in time by which a request must be answered.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Deadline(Instant);
--- a/crates/daemon/src/request/attempt.rs
+++ b/crates/daemon/src/request/attempt.rs
@@ -9,7 +9,7 @@
     },
     version::current::ServerSlot,
 };
-use azurenotch_core::version::balance::Verdict;
+use azurenotch_core::{request::deadline::ANSWER_ALLOWANCE, version::balance::Verdict};
 use azurenotch_wire::{
     refusal::{self, Reason, Refusal},
     time::Instant,
@@ -113,7 +113,7 @@
         let answered = select! {
             biased;
             () = withdrawn.cancelled() => return Err(Failure::withdrawn(true)),
-            answered = timeout(left, self.send(pool, lease)) => answered,
+            answered = timeout(left + ANSWER_ALLOWANCE, self.send(pool, lease)) => answered,
         };
         let Ok(answered) = answered else {
             return Err(self.timed_out(left));
--- a/crates/entry/src/request/attempt.rs
+++ b/crates/entry/src/request/attempt.rs
@@ -12,6 +12,7 @@
 };
 use azurenotch_core::{
     request::{
+        deadline::ANSWER_ALLOWANCE,
         identity::{Identity, Key, Parts},
         pause,
     },
@@ -44,6 +45,8 @@
 /// A server may close a connection that has been idle for longer at the moment the request is sent.
 /// The host could then not find out whether the server read the request.
 const NON_REPEATABLE_MAX_IDLE: Duration = Duration::from_millis(1_500);
+/// Resolution of the time that a server is given.
+const GIVEN_TIME_RESOLUTION: Duration = Duration::from_millis(1);
 /// Largest answer body that is buffered as a whole; the rest of a larger one is streamed.
 const MAX_BUFFERED_ANSWER_BYTES: usize = 256 * 1024;
 /// Time without reuse of a server's connections after one carried the answer to another request.
@@ -60,9 +63,10 @@
     pub(crate) body: Bytes,
     /// Whether the request may run more than once.
     pub(crate) repeatable: bool,
+    /// End of the time that servers are given.
     pub(crate) deadline: Instant,
-    /// Moment from which the caller no longer waits for the rest of an answer.
-    pub(crate) stream_deadline: Instant,
+    /// When the rest of an answer is given up that is passed on while the server sends it.
+    pub(crate) stream_end: Instant,
 }
 
 impl Job {
@@ -214,6 +218,8 @@
                 StatusCode::MISDIRECTED_REQUEST => Verdict::Unreachable,
                 _ if pauses => Verdict::Paused,
                 _ if not_run => Verdict::Shed,
+                // It has worked for as long as it was given, which callers choose.
+                StatusCode::GATEWAY_TIMEOUT if is_at_end(state, job) => Verdict::Abandoned,
                 _ if status.is_server_error() => Verdict::Failed,
                 _ => Verdict::Answered,
             };
@@ -248,6 +254,11 @@
     }
 }
 
+/// Returns whether the time that the servers of the request were given is over.
+fn is_at_end(state: &State, job: &Job) -> bool {
+    state.now() + GIVEN_TIME_RESOLUTION >= job.deadline
+}
+
 /// Returns whether nothing was heard of the server, since it was chosen, that forbids the send.
 ///
 /// Opening a connection takes time, in which the server may have left.
@@ -366,7 +377,7 @@
         {
             let in_flight = GaugeGuard::new(&state.metrics.in_flight);
             let buffered = reservation.hold(buffer.freeze());
-            let left = job.stream_deadline.since(state.now());
+            let left = job.stream_end.since(state.now());
             let stream = Stream::new(buffered, body, left, lease, in_flight);
             let body = Body::Stream(Box::new(stream));
             return Ending::Answered(crate::request::reply::from_server(
@@ -483,14 +494,14 @@
     }
 }
 
-/// Sends the request once; returns `None` if it has not ended at the deadline.
-pub(crate) async fn send_before_deadline(
+/// Sends the request once; returns `None` if it has not ended [`ANSWER_ALLOWANCE`] after the deadline.
+pub(crate) async fn send_in_time(
     state: &State,
     job: &Job,
     target: &Target,
     permit: &Permit<'_>,
 ) -> Option<Ending> {
-    let left = job.deadline.since(state.now());
+    let left = (job.deadline + ANSWER_ALLOWANCE).since(state.now());
     select! {
         ending = timeout(left, send(state, job, target, permit)) => ending.ok(),
         () = state.cutoff.cancelled() => Some(Ending::Stopped),
--- a/crates/entry/src/request/forward.rs
+++ b/crates/entry/src/request/forward.rs
@@ -16,7 +16,10 @@
     },
 };
 use azurenotch_core::{
-    request::admission::{self, Decision, Estimate},
+    request::{
+        admission::{self, Decision, Estimate},
+        deadline::ANSWER_ALLOWANCE,
+    },
     version::{
         placement::{Choice, Placement, Query},
         spill,
@@ -191,7 +194,7 @@
                 Next::Refuse(reason, wait) => return attempts.refuse(reason, wait),
             };
             attempts.tried.push(target.choice.index);
-            let sent = attempt::send_before_deadline(self.state, &self.job, &target, &permit);
+            let sent = attempt::send_in_time(self.state, &self.job, &target, &permit);
             let mut ending = sent.await;
             suspect.observe(&permit, &target, ending.as_ref()).await;
             if let Some(Ending::Answered(response)) = &mut ending
@@ -212,12 +215,22 @@
         let pending = Pending {
             id: &self.job.id,
             route: self.grant.entry.hash,
-            left: self.time_limit.since(now),
+            left: (self.time_limit + ANSWER_ALLOWANCE).since(now),
             repeatable: self.job.repeatable,
         };
         self.state.ends_before_stop(now, &pending)
     }
 
+    /// Returns why a request is given up that a server runs.
+    fn reason(&self) -> Reason {
+        // The time that servers are given on a stopping host ends before the host does.
+        if self.state.now() < self.time_limit {
+            Reason::Leaving
+        } else {
+            Reason::Timeout
+        }
+    }
+
     /// Returns the permission to send the request, which one that crashes servers does not get.
     async fn permit<'s>(
         &self,
@@ -258,19 +271,9 @@
                 "cause" => cause(ending.as_ref()));
         }
         match ending {
-            None => {
-                attempts.runs += 1;
-                // The deadline of a request on a stopping host is at most the end of the stop.
-                let is_cut_off = self.state.time_to_stop(self.state.now()) == Some(Duration::ZERO);
-                Some(attempts.give_up(if is_cut_off {
-                    Reason::Leaving
-                } else {
-                    Reason::Timeout
-                }))
-            }
-            Some(Ending::Stopped) => {
+            None | Some(Ending::Stopped) => {
                 attempts.runs += 1;
-                Some(attempts.give_up(Reason::Leaving))
+                Some(attempts.give_up(self.reason()))
             }
             Some(Ending::Answered(response)) => {
                 self.observe_size(&response);
--- a/crates/entry/src/request/handler.rs
+++ b/crates/entry/src/request/handler.rs
@@ -13,7 +13,7 @@
     },
     version::catalog::{Catalog, Denial, Grant},
 };
-use azurenotch_core::request::admission;
+use azurenotch_core::request::{admission, deadline::ANSWER_ALLOWANCE};
 use azurenotch_wire::time::Instant;
 use bytes::Bytes;
 use http::{Request, Response, StatusCode, header};
@@ -156,7 +156,7 @@
         let pending = Pending {
             id: &self.id,
             route: route_hash,
-            left: timeout,
+            left: timeout + ANSWER_ALLOWANCE,
             repeatable,
         };
         if !self.state.ends_before_stop(self.arrived, &pending) {
@@ -177,7 +177,10 @@
         let (parts, body) = request.into_parts();
         let time_limit = self.arrived + timeout;
         let cutoff = self.state.stop.get().copied();
-        let deadline = cutoff.map_or(time_limit, |cutoff| time_limit.min(cutoff));
+        // The server's own answer at the end of its time has to come before the cutoff.
+        let deadline = cutoff.map_or(time_limit, |cutoff| {
+            time_limit.min(cutoff - ANSWER_ALLOWANCE)
+        });
         let limit = catalog.limits.body_bytes.min(self.max_body_bytes());
         // The memory stays reserved until the request has ended.
         let mut reservation = Reservation::new(&self.state.memory);
@@ -203,7 +206,9 @@
                 body,
                 repeatable,
                 deadline,
-                stream_deadline: self.arrived + caller_timeout.unwrap_or(route.timeout),
+                stream_end: self.arrived
+                    + caller_timeout.unwrap_or(route.timeout)
+                    + ANSWER_ALLOWANCE,
             },
         };
         let stopwatch = Stopwatch::start(self.state, route_hash);
@@ -308,8 +313,11 @@
 ///
 /// A failure or a rejection may come far sooner than an answer, or later.
 fn measure(outcome: &mut Outcome, stopwatch: Stopwatch) {
-    let timed_out = outcome.reason == Some(Reason::Timeout);
-    let answered = outcome.reason.is_none() && !outcome.response.status().is_server_error();
+    let status = outcome.response.status();
+    // A server that gives up at the end of its time says as much as one that does not answer.
+    let timed_out = outcome.reason == Some(Reason::Timeout)
+        || outcome.reason.is_none() && status == StatusCode::GATEWAY_TIMEOUT;
+    let answered = outcome.reason.is_none() && !status.is_server_error();
     match outcome.response.body_mut() {
         Body::Stream(stream) => stream.observe(stopwatch),
         Body::Whole(_) if answered => stopwatch.stop(),
