test(daemon): an answer that is due at the deadline is passed on by daemons too

crates/daemon gave up at the deadline as the entry host did. The new test fails without the allowance (504 for 200). a_silent_server_ends_in_a_timeout moved the clock to the deadline and expected 504 there, which is the fault; it now checks that nothing is given up at the deadline and that the 504 comes when the allowance is over.

--- a/crates/daemon/tests/attempts.rs
+++ b/crates/daemon/tests/attempts.rs
@@ -2,7 +2,8 @@
 
 mod support;
 
-use azurenotch_test_support::backend::{Behaviour, Server};
+use azurenotch_core::request::deadline::ANSWER_ALLOWANCE;
+use azurenotch_test_support::backend::{Behaviour, Mode, Server};
 use support::{
     BUCKET_FILL_TIME, Backend, Caller, Fixture, FrozenClock, ROUTE_TIMEOUT, Reply, get, post,
     snapshot,
@@ -108,6 +109,9 @@
         request = second.requests.recv() => assert!(request.is_some()),
     }
     advance(ROUTE_TIMEOUT).await;
+    // The server's own answer may be on its way.
+    assert!(first.closed.try_recv().is_err() && second.closed.try_recv().is_err());
+    advance(ANSWER_ALLOWANCE).await;
     let answer = caller.answer().await.expect("an answer");
     assert_eq!(answer.status(), 504);
     assert_eq!(answer.refusal(), ("unknown", "timeout"));
@@ -119,6 +123,25 @@
     assert_eq!(first.drain().len() + second.drain().len(), 0);
 }
 
+/// Guards against a host that gives up at the moment at which the server's answer is due.
+#[tokio::test(start_paused = true)]
+async fn an_answer_at_the_end_of_its_time_is_not_replaced() {
+    let _frozen = FrozenClock::new();
+    let slow = Behaviour {
+        mode: Mode::Late(ROUTE_TIMEOUT + ANSWER_ALLOWANCE / 2),
+        ..Behaviour::default()
+    };
+    let backend = Server::start(slow).await.expect("free port");
+    let fixture = Fixture::start(&[backend.address()]).await;
+    advance(BUCKET_FILL_TIME).await;
+    let mut caller = Caller::connect(fixture.address).await;
+    caller.send(&post("/write", "slot 7")).await;
+    backend.wait_for(|counter| counter.received == 1).await;
+    advance(ROUTE_TIMEOUT).await;
+    advance(ANSWER_ALLOWANCE / 2).await;
+    assert_eq!(caller.answer().await.expect("an answer").status(), 200);
+}
+
 /// Guards against an unknown outcome for a request that was never sent.
 #[test_case(get("/read"); "read")]
 #[test_case(post("/write", "slot 7"); "write")]
