fix(core): a stopping host goes by whether callers could know of the stop

Callers saw 502 and 504 for requests that a stopping host had accepted 3 s and more after its SIGTERM, while servers were at work (LOST), where a few requests of a route are long; on the other side, 3 in 100 long requests closed a route for all callers from 0.8 s on. Cause: one bound for all of the stop, the longest of the last hundred answers. It is no bound for the next answer where long ones are rare, least at a host that has started seconds ago, and it is far too strict where a broken off answer costs less than the rejection of a whole route. Change: the decision knows how long ago the stop began. Within 3 s, twice the lifetime of a look-up, up to one in ten exceptions do not count for requests that may run again. After it the longest of the last 500 answers and timeouts counts, from 150 answers on, and otherwise the whole timeout. Timeouts are kept beside the answers. A repeat is judged by the arrival of its request.

--- a/crates/core/src/request/forecast/tests.rs
+++ b/crates/core/src/request/forecast/tests.rs
@@ -12,6 +12,17 @@
     need_ms: u64,
 }
 
+const EARLY: Request = Request {
+    since_stop: Duration::ZERO,
+    timeout: TIMEOUT,
+    repeatable: true,
+};
+
+const LATE: Request = Request {
+    since_stop: Duration::from_millis(3_001),
+    ..EARLY
+};
+
 const STEADY: Case = Case {
     answers_ms: &[2_800; 12],
     running_ms: &[],
@@ -38,7 +49,11 @@
     for age in case.running_ms {
         forecast.begin(now - Duration::from_millis(*age));
     }
-    let need = forecast.need(now, TIMEOUT, case.repeatable);
+    let request = Request {
+        repeatable: case.repeatable,
+        ..EARLY
+    };
+    let need = forecast.need(now, &request);
     assert_eq!(need, Duration::from_millis(case.need_ms));
 }
 
@@ -66,9 +81,14 @@
 #[test_case(Stop { time_ms: 3_500, repeatable: false, since_ms: 2_400, accepted: false }; "once only, it might be given up")]
 #[test_case(Stop { time_ms: 60_000, repeatable: false, since_ms: 0, accepted: false }; "once only, longer than the whole stop")]
 fn without_answers_the_whole_timeout_has_to_fit(stop: Stop) {
-    let left = GRACE.saturating_sub(Duration::from_millis(stop.since_ms));
-    let time = Duration::from_millis(stop.time_ms);
-    let need = Forecast::default().need(Instant::ZERO, time, stop.repeatable);
+    let since_stop = Duration::from_millis(stop.since_ms);
+    let left = GRACE.saturating_sub(since_stop);
+    let request = Request {
+        since_stop,
+        timeout: Duration::from_millis(stop.time_ms),
+        repeatable: stop.repeatable,
+    };
+    let need = Forecast::default().need(Instant::ZERO, &request);
     assert_eq!(need <= left, stop.accepted);
 }
 
@@ -83,12 +103,9 @@
     forecast.begin(started);
     forecast.begin(started);
     forecast.end(started);
-    assert_eq!(forecast.need(now, TIMEOUT, true), Duration::from_secs(4));
+    assert_eq!(forecast.need(now, &EARLY), Duration::from_secs(4));
     forecast.end(started);
-    assert_eq!(
-        forecast.need(now, TIMEOUT, true),
-        Duration::from_millis(200)
-    );
+    assert_eq!(forecast.need(now, &EARLY), Duration::from_millis(200));
 }
 
 /// Guards against callers with little time, whose timeouts hide how long the answers take.
@@ -102,7 +119,7 @@
     for _ in 0..MAX_ANSWERS {
         forecast.observe_timeout(Duration::from_millis(timeout_ms));
     }
-    let need = forecast.need(Instant::ZERO, TIMEOUT, true);
+    let need = forecast.need(Instant::ZERO, &EARLY);
     assert_eq!(need, Duration::from_millis(need_ms));
 }
 
@@ -113,6 +130,72 @@
     for _ in 0..MAX_ANSWERS {
         forecast.observe(Duration::from_millis(100));
     }
-    let need = forecast.need(Instant::ZERO, TIMEOUT, true);
+    let need = forecast.need(Instant::ZERO, &EARLY);
     assert_eq!(need, Duration::from_millis(200));
 }
+
+/// What a host has seen of a route with a few long requests.
+struct Mix {
+    /// Number of answers in 50 ms, and of those in 4 s.
+    answers: [usize; 2],
+    /// Number of requests that had no answer after 4 s.
+    timeouts: usize,
+    /// Number of requests that have run for a second.
+    running: usize,
+    request: Request,
+    need_ms: u64,
+}
+
+const FEW: Mix = Mix {
+    answers: [97, 3],
+    timeouts: 0,
+    running: 0,
+    request: EARLY,
+    need_ms: 150,
+};
+
+#[test_case(FEW; "a few long answers do not count")]
+#[test_case(Mix { answers: [89, 11], need_ms: 5_000, ..FEW }; "many do")]
+#[test_case(Mix { answers: [100, 0], timeouts: 5, ..FEW }; "a few timeouts do not count")]
+#[test_case(Mix { answers: [100, 0], timeouts: 12, need_ms: 5_000, ..FEW }; "many timeouts do")]
+#[test_case(Mix { answers: [100, 0], running: 5, ..FEW }; "a few overdue requests do not count")]
+#[test_case(Mix { answers: [100, 0], running: 11, need_ms: 2_000, ..FEW }; "many overdue requests do")]
+#[test_case(Mix { answers: [46, 3], need_ms: 5_000, ..FEW }; "of fewer answers they do")]
+#[test_case(Mix { request: Request { repeatable: false, ..EARLY }, need_ms: 5_000, ..FEW }; "once only")]
+#[test_case(Mix { request: LATE, need_ms: 5_000, ..FEW }; "callers could know of the stop")]
+#[test_case(Mix { answers: [200, 0], running: 1, request: LATE, need_ms: 5_000, ..FEW }; "callers could know of the stop, one is overdue")]
+#[test_case(Mix { answers: [150, 0], request: LATE, ..FEW }; "short work, late")]
+#[test_case(Mix { answers: [149, 0], request: LATE, need_ms: 5_000, ..FEW }; "too little seen, late")]
+fn a_few_long_requests_count_where_callers_could_know_of_the_stop(mix: Mix) {
+    let now = Instant::from_millis(60_000);
+    let mut forecast = Forecast::default();
+    let [short, long] = mix.answers;
+    // The long ones first, so that they are the oldest.
+    for (count, ms) in [(long, 4_000), (short, 50)] {
+        for _ in 0..count {
+            forecast.observe(Duration::from_millis(ms));
+        }
+    }
+    for _ in 0..mix.timeouts {
+        forecast.observe_timeout(Duration::from_secs(4));
+    }
+    for _ in 0..mix.running {
+        forecast.begin(now - Duration::from_secs(1));
+    }
+    let need = forecast.need(now, &mix.request);
+    assert_eq!(need, Duration::from_millis(mix.need_ms));
+}
+
+/// Guards against a host that forgets its long requests within seconds.
+#[test]
+fn late_requests_go_by_more_answers() {
+    let mut forecast = Forecast::default();
+    forecast.observe(Duration::from_secs(2));
+    for _ in 1..MAX_ANSWERS {
+        forecast.observe(Duration::from_millis(50));
+    }
+    let late = |forecast: &Forecast| forecast.need(Instant::ZERO, &LATE);
+    assert_eq!(late(&forecast), Duration::from_millis(2_600));
+    forecast.observe(Duration::from_millis(50));
+    assert_eq!(late(&forecast), Duration::from_millis(150));
+}
--- a/crates/core/tests/support/stop.rs
+++ b/crates/core/tests/support/stop.rs
@@ -1,15 +1,12 @@
 //! Model of a planned stop under load, in virtual time.
 
-use azurenotch_core::request::forecast::Forecast;
+use azurenotch_core::request::forecast::{Forecast, NOTICE_TIME, Request};
 use azurenotch_wire::time::Instant;
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use std::{cmp::Reverse, collections::BinaryHeap, time::Duration};
 
 /// When the stop begins.
 const STOP: Instant = Instant::from_millis(60_000);
-/// Time since the announcement for which an answer that is broken off is excused: callers may not know of
-/// the stop.
-const EXCUSED: Duration = Duration::from_secs(3);
 /// Time until running requests are given up; a grace period of 6 s.
 const TIME_TO_STOP: Duration = Duration::from_millis(5_700);
 /// Time for which callers may open connections.
@@ -162,7 +159,7 @@
                 (true, true) => outcome.answered += 1,
                 (true, false) => {
                     outcome.broken_off += 1;
-                    outcome.late += u32::from(since > EXCUSED);
+                    outcome.late += u32::from(since > NOTICE_TIME);
                 }
                 (false, _) => outcome.rejected += 1,
             }
@@ -175,7 +172,14 @@
 
 fn need(load: &Load, rule: Rule, forecast: &Forecast, now: Instant) -> Duration {
     match rule {
-        Rule::Forecast => forecast.need(now, load.timeout, load.repeatable),
+        Rule::Forecast => {
+            let request = Request {
+                since_stop: now.since(STOP),
+                timeout: load.timeout,
+                repeatable: load.repeatable,
+            };
+            forecast.need(now, &request)
+        }
         Rule::Share if load.repeatable => load.timeout.min(TIME_TO_STOP.mul_f64(0.42)),
         Rule::Timeout | Rule::Share => load.timeout,
     }
--- a/crates/entry/src/process/entry.rs
+++ b/crates/entry/src/process/entry.rs
@@ -11,7 +11,7 @@
         feed,
         gossip::Gossip,
         lag, move_state, probe, relay,
-        state::{Dependencies, State},
+        state::{Dependencies, State, Stop},
     },
     setting::Setting,
 };
@@ -155,7 +155,9 @@
         let grace = state.setting().bounds.grace;
         let grace = grace.saturating_sub(EXIT_RESERVE + ANSWER_RESERVE);
         // `shut_down` consumes the host, so the cell is set only once.
-        let _ = state.stop.set(state.now() + grace);
+        let began = state.now();
+        let cutoff = began + grace;
+        let _ = state.stop.set(Stop { began, cutoff });
         let open = grace.mul_f64(ACCEPT_SHARE);
         sleep(open).await;
         stop_callers.cancel();
--- a/crates/entry/src/process/state.rs
+++ b/crates/entry/src/process/state.rs
@@ -24,7 +24,11 @@
         senders::Place,
         suspect, warmup,
     },
-    request::{body_memory::Account, forecast::Forecast, identity},
+    request::{
+        body_memory::Account,
+        forecast::{self, Forecast},
+        identity,
+    },
     version::slew,
 };
 use azurenotch_platform::Clock;
@@ -98,12 +102,23 @@
     pub id: &'a str,
     /// Hash of the name of its route.
     pub route: u32,
-    /// Time until its own deadline.
+    /// When its header was read.
+    pub arrived: Instant,
+    /// Time until the host gives it up, whether or not it is stopping.
     pub left: Duration,
     /// Whether it may run more than once.
     pub repeatable: bool,
 }
 
+/// Planned stop of a host.
+#[derive(Debug, Clone, Copy)]
+pub struct Stop {
+    /// When look-ups left the host out.
+    pub began: Instant,
+    /// When running requests are given up.
+    pub cutoff: Instant,
+}
+
 /// State that the requests and the control tasks of one host share.
 #[derive(Debug)]
 pub struct State {
@@ -132,9 +147,9 @@
     pub slew: Mutex<slew::Limiter>,
     /// Other hosts.
     pub membership: Mutex<Membership>,
-    /// Instant at which running requests are given up; set when a planned stop begins.
-    pub stop: OnceLock<Instant>,
-    /// Cancelled at that instant: requests that still run get their final answers.
+    /// Set when a planned stop begins.
+    pub stop: OnceLock<Stop>,
+    /// Cancelled at its cutoff: requests that still run get their final answers.
     pub cutoff: CancellationToken,
     /// When the addresses of the other hosts were read from the store.
     joined: OnceLock<Instant>,
@@ -253,28 +268,30 @@
 
     /// Returns the time until running requests are given up; `None` unless the host is stopping.
     pub fn time_to_stop(&self, now: Instant) -> Option<Duration> {
-        self.stop.get().map(|cutoff| cutoff.since(now))
+        self.stop.get().map(|stop| stop.cutoff.since(now))
     }
 
     /// Returns whether a request is likely to end before the host stops, and logs if it is not.
     pub fn ends_before_stop(&self, now: Instant, request: &Pending<'_>) -> bool {
-        let Some(time_to_stop) = self.time_to_stop(now) else {
+        let Some(stop) = self.stop.get() else {
             return true;
         };
-        let Pending {
-            id,
-            route,
-            left,
-            repeatable,
-        } = *request;
+        let time_to_stop = stop.cutoff.since(now);
+        let since_stop = request.arrived.since(stop.began);
+        let expected = forecast::Request {
+            since_stop,
+            timeout: request.left,
+            repeatable: request.repeatable,
+        };
         let forecasts = self.forecasts.lock();
-        let forecast = forecasts.get(&route);
-        let need = forecast.map_or(left, |forecast| forecast.need(now, left, repeatable));
+        let forecast = forecasts.get(&request.route);
+        let need = forecast.map_or(request.left, |forecast| forecast.need(now, &expected));
         drop(forecasts);
         if need > time_to_stop {
             let ms = |time: Duration| time.as_millis() as u64;
-            info!(self.log(), "stop: request needs more time than is left"; "id" => id,
-                "need-ms" => ms(need), "stop-left-ms" => ms(time_to_stop));
+            info!(self.log(), "stop: request needs more time than is left"; "id" => request.id,
+                "need-ms" => ms(need), "stop-left-ms" => ms(time_to_stop),
+                "since-stop-ms" => ms(since_stop));
         }
         need <= time_to_stop
     }
--- a/crates/entry/src/request/forward.rs
+++ b/crates/entry/src/request/forward.rs
@@ -52,6 +52,8 @@
     pub(crate) service: Service,
     /// Hash of the object that the request is for, used for affinity; `None` without one.
     pub(crate) object: Option<u64>,
+    /// When its header was read.
+    pub(crate) arrived: Instant,
     /// Moment at which the time of the request is over, whether or not the host stops before.
     pub(crate) time_limit: Instant,
     pub(crate) job: Job,
@@ -215,6 +217,7 @@
         let pending = Pending {
             id: &self.job.id,
             route: self.grant.entry.hash,
+            arrived: self.arrived,
             left: (self.time_limit + ANSWER_ALLOWANCE).since(now),
             repeatable: self.job.repeatable,
         };
--- a/crates/entry/src/request/handler.rs
+++ b/crates/entry/src/request/handler.rs
@@ -156,6 +156,7 @@
         let pending = Pending {
             id: &self.id,
             route: route_hash,
+            arrived: self.arrived,
             left: timeout + ANSWER_ALLOWANCE,
             repeatable,
         };
@@ -176,10 +177,10 @@
         }
         let (parts, body) = request.into_parts();
         let time_limit = self.arrived + timeout;
-        let cutoff = self.state.stop.get().copied();
+        let stop = self.state.stop.get();
         // The server's own answer at the end of its time has to come before the cutoff.
-        let deadline = cutoff.map_or(time_limit, |cutoff| {
-            time_limit.min(cutoff - ANSWER_ALLOWANCE)
+        let deadline = stop.map_or(time_limit, |stop| {
+            time_limit.min(stop.cutoff - ANSWER_ALLOWANCE)
         });
         let limit = catalog.limits.body_bytes.min(self.max_body_bytes());
         // The memory stays reserved until the request has ended.
@@ -197,6 +198,7 @@
             allowed_regions,
             service: grant.entry.next_service().clone(),
             object: object.flatten(),
+            arrived: self.arrived,
             time_limit,
             job: Job {
                 id: self.id.clone(),
