fix(entry): a process ends when its last log lines are written

Cause: the last flush only queued the lines for the writing thread, and the process ended without waiting for it.

--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -18,6 +18,8 @@
     time::sleep,
 };
 
+/// Time for the last log lines; within what the stop leaves of the grace period for the exit.
+const LOG_CLOSE_TIMEOUT: Duration = Duration::from_millis(100);
 /// Interval for detecting changes of the settings file that come without a signal.
 const SETTINGS_POLL_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -88,7 +90,7 @@
         // A second interrupt does not wait for running requests.
         _ = interrupt.recv() => {}
     }
-    journal.flush();
+    journal.close(LOG_CLOSE_TIMEOUT);
     Ok(())
 }
 
--- a/crates/entry/src/process/journal.rs
+++ b/crates/entry/src/process/journal.rs
@@ -13,8 +13,8 @@
         Arc, Mutex, MutexGuard, PoisonError,
         mpsc::{Receiver, SyncSender, TrySendError, sync_channel},
     },
-    thread,
-    time::Duration,
+    thread::{self, JoinHandle},
+    time::{Duration, Instant},
 };
 use tokio::time::sleep;
 
@@ -26,6 +26,8 @@
 const MAX_BATCH_BYTES: usize = 64 * 1024;
 /// Batches that are queued for the standard output.
 const MAX_QUEUED_BATCHES: usize = 4;
+/// Time between two looks at whether the last batches have been written.
+const CLOSE_INTERVAL: Duration = Duration::from_millis(1);
 /// Stack size of the writing thread in bytes.
 const WRITER_STACK_BYTES: usize = 64 * 1024;
 
@@ -64,6 +66,7 @@
     usual: Stream,
     failures: Stream,
     batches: SyncSender<Vec<u8>>,
+    writer: JoinHandle<()>,
 }
 
 /// Lines of one kind, with a logger that reports how many were dropped.
@@ -177,7 +180,7 @@
         let usual = Arc::new(Bounded::new(&Sink::default()));
         let failures = Arc::new(Bounded::new(&Sink::default()));
         let (batches, waiting) = sync_channel(MAX_QUEUED_BATCHES);
-        thread::Builder::new()
+        let writer = thread::Builder::new()
             .name("journal".to_owned())
             .stack_size(WRITER_STACK_BYTES)
             .spawn(move || write(&waiting, output))?;
@@ -185,6 +188,7 @@
             usual: Stream::new("usual", host, &usual),
             failures: Stream::new("failures", host, &failures),
             batches,
+            writer,
         };
         let split = Split {
             usual,
@@ -211,6 +215,41 @@
         self.enqueue(&self.usual, false);
     }
 
+    /// Writes all collected lines and ends the log; returns whether that took at most `max_wait`.
+    ///
+    /// A stalled reader of the output may keep the last lines out of it.
+    pub fn close(self, max_wait: Duration) -> bool {
+        let end = Instant::now() + max_wait;
+        let is_before_end = || {
+            thread::sleep(CLOSE_INTERVAL);
+            Instant::now() < end
+        };
+        let Self {
+            usual,
+            failures,
+            batches,
+            writer,
+        } = self;
+        for stream in [failures, usual] {
+            stream.report_dropped();
+            let mut rest = mem::take(&mut stream.sink.lock().bytes);
+            while let Err(TrySendError::Full(bytes)) = batches.try_send(rest) {
+                if !is_before_end() {
+                    return false;
+                }
+                rest = bytes;
+            }
+        }
+        // The writer ends after the last batch.
+        drop(batches);
+        while !writer.is_finished() {
+            if !is_before_end() {
+                return false;
+            }
+        }
+        true
+    }
+
     fn enqueue(&self, stream: &Stream, keeps_lines: bool) {
         stream.report_dropped();
         let mut batch = stream.sink.lock();
--- a/crates/entry/src/process/journal/tests.rs
+++ b/crates/entry/src/process/journal/tests.rs
@@ -5,6 +5,8 @@
 use std::{
     io::{self, Write},
     sync::mpsc::{Receiver, Sender, channel},
+    thread::{sleep, spawn},
+    time::{Duration, Instant},
 };
 
 /// Output that blocks until the test lets it continue.
@@ -79,3 +81,42 @@
     }
     assert!(text.contains("\"kind\":\"usual\""), "drops are reported");
 }
+
+/// Guards against a process that ends before its last lines are written.
+#[test]
+fn closing_waits_for_a_slow_reader() {
+    let (go, start) = channel();
+    let (written, lines) = channel();
+    let output = Stalled { start, written };
+    let (journal, log) = Journal::open(Level::Info, "h1", output).expect("a thread starts");
+    for number in 0..=MAX_QUEUED_BATCHES {
+        info!(log, "usual"; "number" => number);
+        warn!(log, "failed"; "number" => number);
+        journal.flush();
+    }
+    info!(log, "stopped");
+    let reader = spawn(move || {
+        sleep(Duration::from_millis(50));
+        drop(go);
+    });
+    assert!(journal.close(Duration::from_secs(5)));
+    reader.join().expect("no panic");
+    let text: Vec<u8> = lines.iter().flatten().collect();
+    let text = String::from_utf8(text).expect("valid text");
+    let failures = text.lines().filter(|line| line.contains("\"failed\""));
+    assert_eq!(failures.count(), MAX_QUEUED_BATCHES + 1, "{text}");
+    assert!(text.contains("\"stopped\""), "{text}");
+}
+
+/// Guards against a process that never ends because nobody reads its log.
+#[test]
+fn closing_does_not_wait_for_a_stalled_reader() {
+    let (_go, start) = channel();
+    let (written, _lines) = channel();
+    let output = Stalled { start, written };
+    let (journal, log) = Journal::open(Level::Info, "h1", output).expect("a thread starts");
+    info!(log, "stopped");
+    let from = Instant::now();
+    assert!(!journal.close(Duration::from_millis(20)));
+    assert!(from.elapsed() < Duration::from_secs(5));
+}
