fix(entry): log lines wait while the writer does not run

Cause: usual lines were dropped as soon as four batches were queued, although their batch had room for 64 KB, and the report of dropped lines was itself dropped with its batch, and counted as a line. Change: lines of both kinds wait in their batch, up to its bound. A batch has one report at most, so that a long stall does not make it grow. Result: a_reader_that_stalls_for_a_moment_loses_no_line failed before, passes now.

--- a/crates/entry/src/process/journal.rs
+++ b/crates/entry/src/process/journal.rs
@@ -1,8 +1,7 @@
 //! Log of a host, written in batches by a thread of its own.
 //!
-//! A stalled reader of the standard output never delays a request: lines beyond a bound are
-//! counted and dropped. Warnings and errors have a bound of their own and are kept until the reader
-//! resumes.
+//! A stalled reader of the standard output never delays a request: lines wait until it resumes, and
+//! those beyond a bound are counted and dropped. Warnings and errors have a bound of their own.
 
 use slog::{Drain, Level, Logger, Never, OwnedKVList, Record, o, warn};
 use std::{
@@ -35,7 +34,10 @@
 #[derive(Debug, Default)]
 struct Batch {
     bytes: Vec<u8>,
+    /// Number of lines that were dropped since the last report.
     dropped: u64,
+    /// Whether the batch has a report; one of them is enough, however long the reader stalls.
+    has_report: bool,
 }
 
 /// Writer that collects the lines of one kind.
@@ -91,8 +93,11 @@
 
     /// Adds a line with the number of dropped lines, if any.
     fn report_dropped(&self) {
-        let dropped = mem::take(&mut self.sink.lock().dropped);
-        if dropped > 0 {
+        let mut batch = self.sink.lock();
+        if batch.dropped > 0 && !batch.has_report {
+            let dropped = mem::take(&mut batch.dropped);
+            batch.has_report = true;
+            drop(batch);
             warn!(self.reports, "journal: dropped"; "kind" => self.kind, "lines" => dropped);
         }
     }
@@ -207,12 +212,10 @@
         }
     }
 
-    /// Queues all collected lines for the writing thread.
-    ///
-    /// If the queue is full, usual lines are dropped and failures are kept.
+    /// Queues all collected lines for the writing thread, or keeps them while the queue is full.
     pub fn flush(&self) {
-        self.enqueue(&self.failures, true);
-        self.enqueue(&self.usual, false);
+        self.enqueue(&self.failures);
+        self.enqueue(&self.usual);
     }
 
     /// Writes all collected lines and ends the log; returns whether that took at most `max_wait`.
@@ -250,22 +253,18 @@
         true
     }
 
-    fn enqueue(&self, stream: &Stream, keeps_lines: bool) {
+    fn enqueue(&self, stream: &Stream) {
         stream.report_dropped();
         let mut batch = stream.sink.lock();
         if batch.bytes.is_empty() {
             return;
         }
         let bytes = mem::take(&mut batch.bytes);
-        let Err(TrySendError::Full(bytes) | TrySendError::Disconnected(bytes)) =
-            self.batches.try_send(bytes)
-        else {
-            return;
-        };
-        if keeps_lines {
-            batch.bytes = bytes;
-        } else {
-            batch.dropped += bytes.split(|byte| *byte == b'\n').count() as u64 - 1;
+        match self.batches.try_send(bytes) {
+            Ok(()) => batch.has_report = false,
+            Err(TrySendError::Full(bytes) | TrySendError::Disconnected(bytes)) => {
+                batch.bytes = bytes;
+            }
         }
     }
 }
--- a/crates/entry/src/process/journal/tests.rs
+++ b/crates/entry/src/process/journal/tests.rs
@@ -120,3 +120,22 @@
     assert!(!journal.close(Duration::from_millis(20)));
     assert!(from.elapsed() < Duration::from_secs(5));
 }
+
+/// Guards against lines that are dropped, and miscounted, while a busy machine does not run the writer.
+#[test]
+fn a_reader_that_stalls_for_a_moment_loses_no_line() {
+    const LINES: usize = 5 * MAX_QUEUED_BATCHES;
+    let (go, start) = channel();
+    let (written, lines) = channel();
+    let output = Stalled { start, written };
+    let (journal, log) = Journal::open(Level::Info, "h1", output).expect("a thread starts");
+    for number in 0..LINES {
+        info!(log, "usual"; "number" => number);
+        journal.flush();
+    }
+    drop(go);
+    assert!(journal.close(Duration::from_secs(5)));
+    let text: Vec<u8> = lines.iter().flatten().collect();
+    let text = String::from_utf8(text).expect("valid text");
+    assert_eq!(text.lines().count(), LINES, "{text}");
+}
