--- a/crates/core/src/request/forecast.rs
+++ b/crates/core/src/request/forecast.rs
@@ -152,11 +152,12 @@
         let expected = longest + margin * factor;
         let oldest = self.running.first_key_value();
         let age = oldest.map_or(Duration::ZERO, |(started, _)| now.since(*started));
-        let need = match age > expected {
-            _ if is_tolerant => expected,
-            false => expected,
-            true if is_late => request.timeout,
-            true => age * OVERDUE_FACTOR,
+        let need = if is_tolerant || age <= expected {
+            expected
+        } else if is_late {
+            request.timeout
+        } else {
+            age * OVERDUE_FACTOR
         };
         need.min(request.timeout)
     }
