fix(entry): a host that starts in a later era waits before it trusts the copy's keys

Cause: enter_era let confirmations wait for REWRITE_TIME when a host changed to a later era, and left that out at its first read of all. What a restored store lacks does not depend on whether this host saw the era begin.

Change: a first read in an era above 1 begins the same wait. While the store is in a later era, messages carry the version of the sender's configuration and the age up to which it has all accepted changes; a host with this version or a later one takes that over by the echo, so that one host that starts beside others need not wait. Moment moves out of process::freshness, for times before the start.

--- a/crates/core/src/process/freshness.rs
+++ b/crates/core/src/process/freshness.rs
@@ -1,5 +1,6 @@
 //! Age of a host's information about withdrawn keys.
 
+use super::moment::Moment;
 use azurenotch_wire::{
     Map, Set,
     id::{Host, Incarnation},
@@ -55,9 +56,6 @@
     },
 }
 
-/// Time in nanoseconds relative to the start of the process; negative before it.
-type Moment = i128;
-
 #[derive(Debug, Default)]
 struct Pending {
     covered: Option<Moment>,
@@ -96,7 +94,7 @@
 
     /// Records the version of a head that this host read with a request sent at `sent`.
     pub fn on_head(&mut self, sent: Instant, version: Version) {
-        let moment = Some(moment(sent));
+        let moment = Some(sent.into());
         self.add_evidence(version, moment, moment);
     }
 
@@ -122,7 +120,7 @@
         }
         let covered = answer.store_contact_ms.map(|age| {
             let age = Duration::from_millis(age) + AGE_RESOLUTION;
-            moment(sent) - nanos(age + age * CLOCK_RATE_TOLERANCE_PERCENT / 100)
+            Moment::from(sent) - (age + age * CLOCK_RATE_TOLERANCE_PERCENT / 100)
         });
         let peer = self
             .peers
@@ -171,16 +169,16 @@
     /// A read counts only once the version that it showed is in force, so the receiver may conclude
     /// that the heartbeat's version contains every change up to then. Returns `None` before that.
     pub fn contact_age(&self, now: Instant) -> Option<Duration> {
-        self.contact.map(|contact| age(now, contact))
+        self.contact.map(|contact| contact.age(now))
     }
 
     /// Returns the status at `now` under a contract's isolation limit.
     pub fn status(&self, now: Instant, limit: Duration) -> Status {
         match self.covered {
-            Some(covered) if age(now, covered) <= limit => Status::Current,
+            Some(covered) if covered.age(now) <= limit => Status::Current,
             _ if self.proven_until.is_some_and(|until| now <= until) => Status::StoreDown,
             covered => Status::Isolated {
-                since: Instant::from_nanos(covered.unwrap_or(0).max(0) as u64),
+                since: covered.map_or(Instant::ZERO, Moment::instant),
             },
         }
     }
@@ -200,7 +198,7 @@
                 let covers = peer.has_contact
                     || self
                         .covered
-                        .is_some_and(|covered| covered >= moment(peer.first));
+                        .is_some_and(|covered| covered >= Moment::from(peer.first));
                 (now <= until && covers).then_some(until)
             })
             .try_fold(now + self.window, |earliest, until| {
@@ -228,18 +226,5 @@
     }
 }
 
-const fn moment(instant: Instant) -> Moment {
-    instant.as_nanos() as Moment
-}
-
-const fn nanos(duration: Duration) -> Moment {
-    duration.as_nanos().cast_signed()
-}
-
-fn age(now: Instant, earlier: Moment) -> Duration {
-    let nanos = (moment(now) - earlier).max(0);
-    Duration::from_nanos(u64::try_from(nanos).unwrap_or(u64::MAX))
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/core/src/process/mod.rs
+++ b/crates/core/src/process/mod.rs
@@ -9,6 +9,7 @@
 pub mod freshness;
 pub mod lease;
 pub mod membership;
+pub mod moment;
 pub mod passage;
 pub mod presence;
 pub mod quota;
--- a/crates/entry/src/era.rs
+++ b/crates/entry/src/era.rs
@@ -9,6 +9,13 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Display)]
 pub struct Era(pub u16);
 
+impl Era {
+    /// Highest era of a store that was never restored.
+    ///
+    /// The store counts its eras from 1.
+    pub const FIRST: Self = Self(1);
+}
+
 /// Bits of a version below its era.
 const NUMBER_BITS: u32 = 48;
 const NUMBER_MASK: u64 = (1 << NUMBER_BITS) - 1;
--- a/crates/entry/src/process/gossip/inbound.rs
+++ b/crates/entry/src/process/gossip/inbound.rs
@@ -12,7 +12,7 @@
     },
 };
 use azurenotch_core::{
-    process::{echo::Echo, election::Path, presence::Status, quota::Count},
+    process::{echo::Echo, election::Path, moment::Moment, presence::Status, quota::Count},
     version::{cutover::Evidence, placement::Load},
 };
 use azurenotch_wire::{hash::hash32, id::Host, time::Instant};
@@ -80,6 +80,7 @@
             limits,
             access,
             suspects,
+            completeness,
         } = datagram;
         let state = &self.state;
         let now = state.now();
@@ -143,6 +144,11 @@
         state.receive_suspects(now, &host, &suspects);
         self.receive_updates(message.updates);
         self.receive_shared(message.shared);
+        if let (Some(sent), Some(age_ms)) = (echoed, completeness.age_ms) {
+            let at = Moment::from(sent) - Duration::from_millis(age_ms.into());
+            let mut replica = state.replica.lock();
+            replica.learn_completeness(completeness.configuration, at);
+        }
         let newer_configuration = tail.configuration > state.configuration_version();
         let newer = self.confirm(
             now,
--- a/crates/entry/src/process/gossip/outbound.rs
+++ b/crates/entry/src/process/gossip/outbound.rs
@@ -5,7 +5,7 @@
     updates::{Round, Updates},
 };
 use crate::process::{
-    message::{Access, Head},
+    message::{Access, Completeness, Head},
     replica::Update,
 };
 use azurenotch_core::process::{echo::Echo, election::Path, spread};
@@ -79,9 +79,11 @@
         let limits = self.state.limit_news(now);
         let is_proven = self.state.store_path(now) == Path::Proven;
         let suspects = self.state.suspects.lock().news(now, round, joined);
+        let completeness = self.state.replica.lock().shared_completeness();
+        let completeness = completeness.map(|it| Completeness::new(now, it));
         let mut encode = |updates: Option<[Update; 2]>| {
             let mut end = Vec::new();
-            let tells_suspects = !suspects.is_empty();
+            let tells_suspects = completeness.is_some() || !suspects.is_empty();
             if updates.is_some() || tells_suspects || !limits.reports.is_empty() {
                 rmp_serde::encode::write(&mut end, &limits)?;
             }
@@ -91,6 +93,9 @@
             if tells_suspects {
                 rmp_serde::encode::write(&mut end, &suspects)?;
             }
+            if let Some(completeness) = &completeness {
+                rmp_serde::encode::write(&mut end, completeness)?;
+            }
             message.updates = updates;
             let body = rmp_serde::to_vec(&message)?;
             Ok::<_, rmp_serde::encode::Error>([body.as_slice(), &tail, &end].concat())
--- a/crates/entry/src/process/message.rs
+++ b/crates/entry/src/process/message.rs
@@ -5,7 +5,7 @@
     process::replica::{Freshness, Update},
 };
 use azurenotch_core::{
-    process::{echo::Echo, quota::Count, suspect::News},
+    process::{echo::Echo, moment::Moment, quota::Count, suspect::News},
     version::{cutover::Evidence, limit},
 };
 use azurenotch_wire::time::Instant;
@@ -23,6 +23,8 @@
     ///
     /// Builds before it ignore it.
     pub(crate) suspects: News,
+    /// Left out unless the store was restored; builds before it ignore it.
+    pub(crate) completeness: Completeness,
 }
 
 /// Start of a datagram, which differs for each receiver.
@@ -92,6 +94,27 @@
     }
 }
 
+/// Up to when the sender's configuration has all changes that the operator was told are accepted.
+#[derive(Debug, Clone, Copy, Default, Serialize, Deserialize)]
+pub(crate) struct Completeness {
+    /// Version of the sender's configuration.
+    pub(crate) configuration: u64,
+    /// Milliseconds since then; `None` if the part is left out.
+    pub(crate) age_ms: Option<u32>,
+}
+
+impl Completeness {
+    /// Creates the part for the version of a configuration that has all changes up to `at`.
+    pub(crate) fn new(now: Instant, (configuration, at): (u64, Moment)) -> Self {
+        // Rounded up, so that the receiver never takes the configuration for newer than it is.
+        let age_ms = at.age(now).as_millis() + 1;
+        Self {
+            configuration,
+            age_ms: Some(u32::try_from(age_ms).unwrap_or(u32::MAX)),
+        }
+    }
+}
+
 /// What the sender heard about the limit of a backend server.
 #[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 pub(crate) struct LimitReport {
@@ -136,6 +159,7 @@
         limits: decode_optional(&mut reader)?,
         access: decode_optional(&mut reader)?,
         suspects: decode_optional(&mut reader)?,
+        completeness: decode_optional(&mut reader)?,
     })
 }
 
--- a/crates/entry/src/process/replica/adopt.rs
+++ b/crates/entry/src/process/replica/adopt.rs
@@ -48,6 +48,7 @@
             }
         }
         let config = Arc::new(config);
+        self.completeness.adopt(config.version);
         self.config = Some((version, Arc::clone(&config)));
         Some(Change::Config(config))
     }
--- a/crates/entry/src/process/replica/complete.rs
+++ b/crates/entry/src/process/replica/complete.rs
@@ -2,6 +2,7 @@
 
 use super::Replica;
 use crate::era::Era;
+use azurenotch_core::process::moment::Moment;
 use azurenotch_wire::time::Instant;
 use std::time::Duration;
 
@@ -13,11 +14,14 @@
 /// Up to when the configuration has all changes that the operator was told are accepted.
 ///
 /// A store that has come back from an older copy confirms what the copy has. Changes that it lost are
-/// missing until the operator has written them again.
+/// missing until the operator has written them again. A host that starts in a later era cannot tell how
+/// long ago the store came back, unless another host knows up to when its configuration has all changes.
 #[derive(Debug, Default)]
 pub(super) struct Completeness {
-    /// Latest instant as of which no accepted change is missing.
-    at: Option<Instant>,
+    /// Latest time as of which no accepted change is missing.
+    at: Option<Moment>,
+    /// The same by what another host says, with the configuration that it has and this one lacks.
+    told: Option<(u64, Moment)>,
     /// Version of the store at the first read in the present era; 0 before any read.
     first_read: u64,
     /// Instant from which confirmations count, in an era in which changes may be missing.
@@ -30,7 +34,8 @@
         if Era::of(version) <= Era::of(self.first_read) && self.first_read != 0 {
             return;
         }
-        if self.first_read != 0 {
+        // A store that was never restored has lost nothing.
+        if self.first_read != 0 || Era::of(version) > Era::FIRST {
             self.gap_until = Some(now + REWRITE_TIME);
         }
         self.first_read = version;
@@ -39,6 +44,24 @@
     /// Records that the store had no later change at an instant.
     pub(super) fn confirm(&mut self, at: Instant) {
         if self.gap_until.is_none_or(|until| at >= until) {
+            self.at = self.at.max(Some(at.into()));
+        }
+    }
+
+    /// Records that a version of the configuration, which another host has, has all changes up to `at`.
+    ///
+    /// `known` is the version that this host has.
+    fn learn(&mut self, known: u64, version: u64, at: Moment) {
+        if version <= known {
+            self.at = self.at.max(Some(at));
+        } else if self.told.is_none_or(|(_, told)| told < at) {
+            self.told = Some((version, at));
+        }
+    }
+
+    /// Records that the host has this version of the configuration.
+    pub(super) fn adopt(&mut self, version: u64) {
+        if let Some((_, at)) = self.told.take_if(|(told, _)| *told <= version) {
             self.at = self.at.max(Some(at));
         }
     }
@@ -62,10 +85,30 @@
 }
 
 impl Replica {
-    /// Returns the latest instant as of which the configuration has all accepted changes.
+    /// Returns the latest time as of which the configuration has all accepted changes.
     ///
-    /// `None` if the store has never confirmed it.
-    pub fn complete(&self) -> Option<Instant> {
+    /// `None` if neither the store nor another host has ever confirmed it.
+    pub fn complete(&self) -> Option<Moment> {
         self.completeness.at
     }
+
+    /// Returns the version of the configuration and [`Replica::complete`], for hosts that start now.
+    ///
+    /// `None` if the store was never restored: its first confirmation tells them as much.
+    pub(crate) fn shared_completeness(&self) -> Option<(u64, Moment)> {
+        let (_, config) = self.config.as_ref()?;
+        let at = self.complete()?;
+        (Era::of(self.completeness.first_read) > Era::FIRST).then_some((config.version, at))
+    }
+
+    /// Records that, at another host, a version of the configuration has all changes up to `at`.
+    ///
+    /// Versions are the operator's own, so that eras need not be the same.
+    pub(crate) fn learn_completeness(&mut self, version: u64, at: Moment) {
+        let known = self.config.as_ref().map_or(0, |(_, config)| config.version);
+        self.completeness.learn(known, version, at);
+    }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/entry/src/process/state.rs
+++ b/crates/entry/src/process/state.rs
@@ -301,14 +301,14 @@
         }
         let complete = self.replica.lock().complete();
         let limit = bounds.withdrawal.saturating_sub(WITHDRAWAL_MARGIN);
-        complete.is_some_and(|at| now.since(at) < limit)
+        complete.is_some_and(|at| at.age(now) < limit)
     }
 
     /// Updates the metrics about the store.
     pub fn update_store_metrics(&self) {
         let now = self.now();
         let replica = self.replica.lock();
-        let age = replica.complete().map(|at| now.since(at));
+        let age = replica.complete().map(|at| at.age(now));
         self.metrics
             .set_store(replica.era().0, replica.held_count(), age);
     }
@@ -330,7 +330,7 @@
         if self.trusted_keys.swap(trusts, Ordering::Relaxed) != trusts {
             let replica = self.replica.lock();
             let complete = replica.complete();
-            let age = complete.map(|at| now.since(at).as_millis() as u64);
+            let age = complete.map(|at| at.age(now).as_millis() as u64);
             let era = replica.era();
             drop(replica);
             info!(self.log(), "keys: acceptance changed"; "accepted" => trusts, "age-ms" => age,
