fix(core): a raised limit does not give the burst out again

Cause: `Quota::set_contract` kept the tokens and added the difference of the bursts at each raise; a lower burst had cut tokens off and so forgave what had been used of the higher one. The same where a workspace leaves the configuration and comes back (its bucket was new), and at hosts that had not yet adopted a raise (the lower bound of the tokens forgave what others had admitted under it).

Change: what was used beyond a smaller burst is withheld for 5 s, the window of the rule, and counts when the burst grows. Added tokens are divided with silent hosts. The bucket of a removed workspace is kept for two minutes.

--- a/crates/core/src/process/quota.rs
+++ b/crates/core/src/process/quota.rs
@@ -58,6 +58,16 @@
 const MAX_UNCONFIRMED_TIME: Duration = Duration::from_secs(8);
 /// Sent counts that are remembered until most hosts have received them.
 const MAX_ROUNDS: usize = 8;
+/// Time for which tokens that were used under a former contract count against a larger burst.
+///
+/// The window in which a contract is judged. A limit that has been in force for so long has kept
+/// the requests of a window low enough for the whole difference.
+const WITHHELD_TIME: Duration = Duration::from_secs(5);
+/// Time for which the bucket of a workspace without a contract is kept.
+///
+/// Longer than a host is kept that is not heard of, so that no host compares the counts of a new
+/// bucket with those of a former one.
+const KEPT_TIME: Duration = Duration::from_mins(2);
 /// Shortest wait that is asked of a refused caller.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
 /// Longest wait that is asked of a refused caller.
@@ -72,11 +82,22 @@
     pub burst: f64,
 }
 
+impl Contract {
+    /// No limit.
+    const NONE: Self = Self {
+        rate: 0.0,
+        burst: 0.0,
+    };
+}
+
 /// Token bucket of one workspace at one host.
 #[derive(Debug, Clone)]
 pub struct Quota {
     contract: Contract,
     tokens: f64,
+    withheld: Withheld,
+    /// When the workspace lost its contract; `None` if it has one.
+    ended: Option<Instant>,
     updated: Instant,
     count: Count,
     /// Average rate of requests at this host, per second.
@@ -99,6 +120,14 @@
     own_part: f64,
 }
 
+/// Used tokens that the bucket does not lack, since its burst is smaller than what was used.
+#[derive(Debug, Clone, Copy, Default)]
+struct Withheld {
+    tokens: f64,
+    /// When tokens were withheld last.
+    at: Instant,
+}
+
 /// What is set aside for silent hosts that never reported requests of the workspace.
 ///
 /// One value for all of them: an entry for each host and workspace would take megabytes in a large
@@ -141,6 +170,8 @@
         Self {
             contract,
             tokens: start,
+            withheld: Withheld::default(),
+            ended: None,
             updated: now,
             count: Count::default(),
             demand: 0.0,
@@ -160,13 +191,47 @@
         }
     }
 
-    /// Replaces the contract and keeps the tokens; a larger burst adds the difference.
+    /// Replaces the contract and keeps what was used.
+    ///
+    /// A larger burst adds the difference, less what was used of a former burst and is withheld. A
+    /// smaller burst keeps as many tokens as fit, so that a workspace that used a large burst is not
+    /// refused any longer for it; what it used beyond the smaller burst is withheld.
     pub fn set_contract(&mut self, now: Instant, contract: Contract) {
         self.refill(now);
-        let added = (contract.burst - self.contract.burst).max(0.0);
+        let former = self.tokens;
+        let used = self.contract.burst - former + self.withheld_tokens(now);
+        self.ended = None;
         self.contract = contract;
-        self.tokens = (self.tokens + added).min(contract.burst);
-        self.confirmed.tokens = self.confirmed.tokens.min(contract.burst);
+        let least = former.clamp(self.min_tokens(), contract.burst);
+        self.tokens = (contract.burst - used).max(least);
+        self.withheld.tokens = 0.0;
+        self.withhold(now, used - (contract.burst - self.tokens));
+        let added = (self.tokens - former).max(0.0);
+        for other in self.others.values_mut() {
+            let moved = other.silent_part.unwrap_or_default() * added;
+            other.assumed += moved;
+            self.tokens -= moved;
+        }
+        self.unheard.assumed += self.unheard.part * added;
+        self.tokens -= self.unheard.part * added;
+        self.tokens = self.tokens.min(self.max_tokens());
+        let rounds = self.rounds.iter_mut().chain([&mut self.confirmed]);
+        for round in rounds {
+            round.tokens = round.tokens.min(contract.burst);
+        }
+    }
+
+    /// Records that the workspace has no contract any more, so that nothing is refused.
+    pub fn end_contract(&mut self, now: Instant) {
+        if self.ended.is_none() {
+            self.set_contract(now, Contract::NONE);
+            self.ended = Some(now);
+        }
+    }
+
+    /// Returns whether the bucket has to be kept for a contract that comes or comes back.
+    pub fn is_kept(&self, now: Instant) -> bool {
+        self.ended.is_none_or(|ended| now.since(ended) < KEPT_TIME)
     }
 
     /// Records that the counts are sent to all other hosts.
@@ -384,6 +449,31 @@
         (demand + equal / hosts) / (total + equal)
     }
 
+    /// Returns the used tokens that count against a larger burst.
+    fn withheld_tokens(&self, now: Instant) -> f64 {
+        let Withheld { tokens, at } = self.withheld;
+        if now.since(at) < WITHHELD_TIME {
+            tokens
+        } else {
+            0.0
+        }
+    }
+
+    /// Remembers used tokens that the bucket does not lack; none if `tokens` is not positive.
+    fn withhold(&mut self, now: Instant, tokens: f64) {
+        if tokens > 0.0 {
+            self.withheld = Withheld {
+                tokens: self.withheld_tokens(now) + tokens,
+                at: now,
+            };
+        }
+    }
+
+    /// Returns the smallest number of tokens, however many requests the other hosts admitted.
+    fn min_tokens(&self) -> f64 {
+        -self.contract.burst - self.contract.rate
+    }
+
     /// Returns the largest number of tokens of this host and those that it hears.
     fn max_tokens(&self) -> f64 {
         self.contract.burst * (1.0 - self.silent_part)
@@ -395,7 +485,7 @@
             return;
         }
         self.updated = now;
-        let Contract { rate, burst } = self.contract;
+        let rate = self.contract.rate;
         let elapsed = now.since(from).as_secs_f64();
         let free_rate = rate * (1.0 - self.silent_part);
         let heard = self.others.values().filter(|it| it.silent_part.is_none());
@@ -421,7 +511,9 @@
         let taken = elapsed * rate * self.unheard.part;
         self.unheard.assumed += taken;
         gained -= taken;
-        self.tokens = (self.tokens + gained).clamp(-burst - rate, self.max_tokens());
+        let (tokens, least) = (self.tokens + gained, self.min_tokens());
+        self.withhold(now, least - tokens);
+        self.tokens = tokens.clamp(least, self.max_tokens());
     }
 }
 
--- a/crates/entry/src/process/change.rs
+++ b/crates/entry/src/process/change.rs
@@ -220,9 +220,12 @@
                 quotas.insert(workspace.clone(), quota);
             }
         }
-        quotas.retain(|workspace, _| {
+        quotas.retain(|workspace, quota| {
             let contracts = config.workspaces.as_ref();
-            contracts.is_some_and(|contracts| contracts.contains_key(workspace))
+            if !contracts.is_some_and(|contracts| contracts.contains_key(workspace)) {
+                quota.end_contract(now);
+            }
+            quota.is_kept(now)
         });
         let by_hash = quotas.keys().map(|it| (hash32(it.as_str()), it.clone()));
         *self.workspaces_by_hash.lock() = by_hash.collect();
