--- a/crates/entry/src/request/forward.rs
+++ b/crates/entry/src/request/forward.rs
@@ -62,6 +62,10 @@
 pub(crate) struct Candidate {
     pub(crate) server: Server,
     pub(crate) release: Release,
+    /// Region of the server.
+    pub(crate) region: Region,
+    /// Region preferred without the limit on how fast requests move between regions.
+    pub(crate) preferred_region: Region,
     pub(crate) estimate: Estimate,
     /// Probability that the server has the object in its cache.
     pub(crate) hit_probability: f64,
@@ -368,6 +372,8 @@
         attempts.candidate = Some(Candidate {
             server: backend.server.clone(),
             release: backend.release.clone(),
+            region: backend.region.clone(),
+            preferred_region: fleet.placement.backend(preferred).region.clone(),
             estimate,
             hit_probability: choice.hit_probability,
             load_age: choice.load_age,
--- a/crates/entry/src/request/handler.rs
+++ b/crates/entry/src/request/handler.rs
@@ -286,6 +286,8 @@
             "stop-left-ms" => self.state.time_to_stop(self.arrived).map(ms),
             "server" => candidate.map(|candidate| candidate.server.as_str()),
             "version" => candidate.map(|candidate| candidate.release.as_str()),
+            "region" => candidate.map(|candidate| candidate.region.as_str()),
+            "preferred-region" => candidate.map(|candidate| candidate.preferred_region.as_str()),
             "expected-ms" => estimate.map(|estimate| ms(estimate.expected)),
             "wait-ms" => estimate.map(|estimate| ms(estimate.wait)),
             "left-ms" => estimate.map(|estimate| ms(estimate.left)),
