fix(entry): a stop answers every request that was read behind another

Cause: only requests that had been started kept a connection open. A request that was read but waited for its turn (one that may run once, one behind it, or any that came during the stop) was dropped with the connection. Change: a connection closes after the answer to the last request that was read. Those that wait get the answer of a stopping host in their turn: the server's, or 503. A connection for which there is no room closes after its first answer as before.

--- a/crates/entry/src/connection/listener.rs
+++ b/crates/entry/src/connection/listener.rs
@@ -134,8 +134,8 @@
             } else {
                 (requests.reject(&request), None)
             };
-            let is_last = state.is_leaving() || !admitted || tracker.ticket().is_over_limit();
-            if is_last && !requests.has_started() {
+            let is_unwanted = state.is_leaving() || tracker.ticket().is_over_limit();
+            if !admitted || is_unwanted && !requests.has_pending() {
                 let close = HeaderValue::from_static("close");
                 answer.headers_mut().insert(header::CONNECTION, close);
             }
@@ -152,8 +152,8 @@
             if let Poll::Ready(ended) = connection.as_mut().poll(cx) {
                 return Poll::Ready(Some(ended));
             }
-            // Closing drops the requests behind the current one, so those that run come first.
-            if stopping && !closing && !pipeline.has_started() {
+            // Closing drops the requests behind the current one, so they are answered first.
+            if stopping && !closing && !(admitted && pipeline.has_pending()) {
                 closing = true;
                 connection.as_mut().graceful_shutdown();
                 if let Poll::Ready(ended) = connection.as_mut().poll(cx) {
--- a/crates/entry/src/connection/pipeline.rs
+++ b/crates/entry/src/connection/pipeline.rs
@@ -157,12 +157,11 @@
         handler::reject_connection(&state, request, Arrival { read, accepted })
     }
 
-    /// Returns whether a request behind the current one has been started.
+    /// Returns whether a request behind the current one has been read.
     ///
     /// The connection must not be closed before it has been answered.
-    pub fn has_started(&self) -> bool {
-        let inner = self.0.lock();
-        inner.pending.iter().any(|it| it.started.is_some())
+    pub fn has_pending(&self) -> bool {
+        !self.0.lock().pending.is_empty()
     }
 
     /// Reads ahead of the library while a request is unanswered.
