fix(entry): a closed connection is read on until its caller has the last answer

Callers that send the next request while an answer is on its way got 3,946 of 200,000 bytes of it, and a reset (LOST). Cause: the host closed the socket at once after the answer; bytes that come to a closed socket make the system reset the connection and discard what the caller has not received. Change: after an answer the connection is read on, and what comes is discarded, until the caller closes it, or 0.15 s after the last byte, 2 s at the most. Idle connections close at once, as crowded hosts need their room.

--- a/crates/entry/src/connection/pipeline.rs
+++ b/crates/entry/src/connection/pipeline.rs
@@ -31,7 +31,8 @@
     io,
     pin::Pin,
     sync::Arc,
-    task::{Context, Poll},
+    task::{Context, Poll, ready},
+    time::Duration,
 };
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
@@ -39,6 +40,7 @@
         TcpStream,
         tcp::{OwnedReadHalf, OwnedWriteHalf},
     },
+    time::{self, Sleep, sleep},
 };
 use tokio_util::task::AbortOnDropHandle;
 
@@ -48,6 +50,13 @@
 const MAX_PENDING: usize = 8;
 /// Maximum number of bytes of one connection that are read before the library takes them.
 const MAX_AHEAD_BYTES: usize = 16 * 1024;
+/// Time without a byte after which a closed connection is not read any more.
+///
+/// The system resets a connection on which bytes arrive after it was closed, and discards what the caller
+/// has not received of its last answer. Bytes that are read here are no request that anybody waits for.
+const LINGER_TIME: Duration = Duration::from_millis(150);
+/// Longest time for which a closed connection is read.
+const MAX_LINGER_TIME: Duration = Duration::from_secs(2);
 /// Size of one read ahead of the library, in bytes.
 const READ_BYTES: usize = 4 * 1024;
 
@@ -115,6 +124,8 @@
         let stream = Stream {
             pipeline: pipeline.clone(),
             writer,
+            written: None,
+            linger: None,
         };
         (pipeline, stream)
     }
@@ -189,6 +200,19 @@
         }
         Poll::Pending
     }
+
+    /// Reads and discards what the caller still sends; ready when it has closed the connection.
+    fn poll_discard(&self, cx: &mut Context<'_>, linger: &mut Linger) -> Poll<()> {
+        let mut inner = self.0.lock();
+        let mut bytes = [0; READ_BYTES];
+        while !inner.ended {
+            let mut buffer = ReadBuf::new(&mut bytes);
+            let read = ready!(Pin::new(&mut inner.reader).poll_read(cx, &mut buffer));
+            inner.ended = read.is_err() || buffer.filled().is_empty();
+            linger.extend();
+        }
+        Poll::Ready(())
+    }
 }
 
 impl Inner {
@@ -262,6 +286,32 @@
 pub struct Stream {
     pipeline: Pipeline,
     writer: OwnedWriteHalf,
+    /// When bytes of an answer were last written.
+    written: Option<time::Instant>,
+    /// Reading after the connection was closed; `None` before.
+    linger: Option<Linger>,
+}
+
+/// Reading of a closed connection until its caller has closed it too, or sends nothing for a while.
+#[derive(Debug)]
+struct Linger {
+    quiet: Pin<Box<Sleep>>,
+    end: time::Instant,
+}
+
+impl Linger {
+    fn new() -> Self {
+        Self {
+            quiet: Box::pin(sleep(LINGER_TIME)),
+            end: time::Instant::now() + MAX_LINGER_TIME,
+        }
+    }
+
+    /// Waits for a further time after bytes were read.
+    fn extend(&mut self) {
+        let next = time::Instant::now() + LINGER_TIME;
+        self.quiet.as_mut().reset(next.min(self.end));
+    }
 }
 
 impl AsyncRead for Stream {
@@ -293,7 +343,11 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.get_mut().writer).poll_write(cx, bytes)
+        let Self {
+            writer, written, ..
+        } = self.get_mut();
+        *written = Some(time::Instant::now());
+        Pin::new(writer).poll_write(cx, bytes)
     }
 
     fn poll_write_vectored(
@@ -313,6 +367,23 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().writer).poll_shutdown(cx)
+        let Self {
+            pipeline,
+            writer,
+            written,
+            linger,
+        } = self.get_mut();
+        if linger.is_none() {
+            ready!(Pin::new(writer).poll_shutdown(cx))?;
+            // An idle connection owes its caller nothing.
+            if written.is_none_or(|at| at.elapsed() > LINGER_TIME) {
+                return Poll::Ready(Ok(()));
+            }
+        }
+        let linger = linger.get_or_insert_with(Linger::new);
+        if pipeline.poll_discard(cx, linger).is_ready() {
+            return Poll::Ready(Ok(()));
+        }
+        linger.quiet.as_mut().poll(cx).map(Ok)
     }
 }
