fix(entry): the host gives a request up by its last byte

Cause: the host counted its own time from the end of the header. Change: a request with a body is given up by the time at which the body was complete. Servers are given the time from the header, as before.

--- a/crates/entry/src/request/attempt.rs
+++ b/crates/entry/src/request/attempt.rs
@@ -12,7 +12,6 @@
 };
 use azurenotch_core::{
     request::{
-        deadline::ANSWER_ALLOWANCE,
         identity::{Identity, Key, Parts},
         pause,
     },
@@ -65,6 +64,8 @@
     pub(crate) repeatable: bool,
     /// End of the time that servers are given.
     pub(crate) deadline: Instant,
+    /// When the request is given up.
+    pub(crate) end: Instant,
     /// When the rest of an answer is given up that is passed on while the server sends it.
     pub(crate) stream_end: Instant,
 }
@@ -494,14 +495,14 @@
     }
 }
 
-/// Sends the request once; returns `None` if it has not ended [`ANSWER_ALLOWANCE`] after the deadline.
+/// Sends the request once; returns `None` if it has not ended when the request is given up.
 pub(crate) async fn send_in_time(
     state: &State,
     job: &Job,
     target: &Target,
     permit: &Permit<'_>,
 ) -> Option<Ending> {
-    let left = (job.deadline + ANSWER_ALLOWANCE).since(state.now());
+    let left = job.end.since(state.now());
     select! {
         ending = timeout(left, send(state, job, target, permit)) => ending.ok(),
         () = state.cutoff.cancelled() => Some(Ending::Stopped),
--- a/crates/entry/src/request/forward.rs
+++ b/crates/entry/src/request/forward.rs
@@ -16,10 +16,7 @@
     },
 };
 use azurenotch_core::{
-    request::{
-        admission::{self, Decision, Estimate},
-        deadline::ANSWER_ALLOWANCE,
-    },
+    request::admission::{self, Decision, Estimate},
     version::{
         placement::{Choice, Placement, Query},
         spill,
@@ -222,7 +219,7 @@
             id: &self.job.id,
             route: self.grant.entry.hash,
             arrived: self.arrived,
-            left: (self.time_limit + ANSWER_ALLOWANCE).since(now),
+            left: self.job.end.since(now),
             repeatable: self.job.repeatable,
         };
         self.state.ends_before_stop(now, &pending)
--- a/crates/entry/src/request/handler.rs
+++ b/crates/entry/src/request/handler.rs
@@ -189,6 +189,12 @@
             Ok(body) => body,
             Err(error) => return self.refuse_body(&grant, &error),
         };
+        // The caller may count its time from the last byte of its body.
+        let sent = if body.is_empty() {
+            self.arrived
+        } else {
+            self.state.now()
+        };
         let object = route
             .sticky
             .then(|| forward::object_hash(&parts.headers, &protocol.object));
@@ -208,9 +214,8 @@
                 body,
                 repeatable,
                 deadline,
-                stream_end: self.arrived
-                    + caller_timeout.unwrap_or(route.timeout)
-                    + ANSWER_ALLOWANCE,
+                end: sent + timeout + ANSWER_ALLOWANCE,
+                stream_end: sent + caller_timeout.unwrap_or(route.timeout) + ANSWER_ALLOWANCE,
             },
         };
         let stopwatch = Stopwatch::start(self.state, route_hash);
