--- a/crates/entry/src/process/gossip/outbound.rs
+++ b/crates/entry/src/process/gossip/outbound.rs
@@ -83,14 +83,15 @@
         let completeness = completeness.map(|it| Completeness::new(now, it));
         let mut encode = |updates: Option<[Update; 2]>| {
             let mut end = Vec::new();
-            let tells_suspects = completeness.is_some() || !suspects.is_empty();
-            if updates.is_some() || tells_suspects || !limits.reports.is_empty() {
+            // A part needs all those before it.
+            let has_suspects_part = completeness.is_some() || !suspects.is_empty();
+            if updates.is_some() || has_suspects_part || !limits.reports.is_empty() {
                 rmp_serde::encode::write(&mut end, &limits)?;
             }
-            if updates.is_some() || tells_suspects {
+            if updates.is_some() || has_suspects_part {
                 rmp_serde::encode::write(&mut end, &Access { is_proven })?;
             }
-            if tells_suspects {
+            if has_suspects_part {
                 rmp_serde::encode::write(&mut end, &suspects)?;
             }
             if let Some(completeness) = &completeness {
