feat(entry): log the regions a request is held to, and look-ups

Cause: the log could not tell whether a request outside its regions went by an older configuration, reached another server than the one meant, or came by a look-up that named hosts of other regions. Change: lines of requests and failed sends have the allowed regions, the address and the data centre; lines of rows have address and data centre; adopted configurations have the numbers of routes and workspaces with homes; look-ups have a line and a counter. No decision is changed.

--- a/crates/entry/src/process/change.rs
+++ b/crates/entry/src/process/change.rs
@@ -121,7 +121,8 @@
             }
             Change::Listed(server, backend) => {
                 info!(log, "servers: server added or updated"; "server" => %server,
-                    "service" => %backend.service, "draining" => backend.draining,
+                    "service" => %backend.service, "address" => %backend.address,
+                    "data-centre" => %backend.data_centre, "draining" => backend.draining,
                     "cold-ms" => backend.cold.as_millis() as u64, "max-age-ms" => age,
                     "source" => %source);
                 let evacuated = self.replica.lock().is_evacuated(&backend.data_centre);
@@ -172,7 +173,9 @@
             .retain(|route, _| routes.contains(route));
         self.catalog.store(Some(Arc::new(Catalog::new(config))));
         info!(self.log(), "configuration: adopted"; "version" => config.version,
-            "routes" => config.routes.len(), "services" => services, "source" => %source);
+            "routes" => config.routes.len(), "services" => services, "source" => %source,
+            "routes-with-homes" => config.routes.values().filter(|it| !it.homes.is_empty()).count(),
+            "workspaces-with-homes" => workspaces_with_homes(config));
     }
 
     fn adopt_services(&self, now: Instant, config: &Config) -> usize {
@@ -262,6 +265,12 @@
     setting.bounds.drain.mul_f64(LAST_RESORT_SHARE)
 }
 
+/// Returns how many workspaces may run in some regions only.
+fn workspaces_with_homes(config: &Config) -> usize {
+    let contracts = config.workspaces.iter().flatten();
+    contracts.filter(|(_, it)| !it.homes.is_empty()).count()
+}
+
 fn objective(config: &Config, service: &Service) -> Duration {
     let routes = config.routes.values();
     let routes = routes.filter(|route| route.parts.iter().any(|(part, _)| part == service));
--- a/crates/entry/src/process/control.rs
+++ b/crates/entry/src/process/control.rs
@@ -7,13 +7,17 @@
     },
     process::{relay, state::State},
 };
-use azurenotch_wire::id::{DataCentre, Region};
+use azurenotch_wire::{
+    id::{DataCentre, Region},
+    time::Instant,
+};
 use bytes::Bytes;
+use derive_more::Display;
 use http::{HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::Full;
 use hyper::{body::Incoming, server::conn::http1::Builder, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use slog::debug;
+use slog::{debug, info};
 use std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
 use tokio::{net::TcpListener, select, sync::Semaphore, time::sleep};
 use tokio_util::sync::CancellationToken;
@@ -152,7 +156,21 @@
     };
     let centre = field(protocol.look_up_data_centre).map(DataCentre::from);
     let region = field(protocol.look_up_region).map(Region::from);
-    let addresses = addresses(state, centre.as_ref(), region.as_ref());
+    let (scope, addresses) = addresses(state, centre.as_ref(), region.as_ref());
+    let scope = scope.to_string();
+    state.metrics.count_look_up(&scope);
+    let now = state.now();
+    let membership = state.membership.lock();
+    let (known, reachable) = (
+        membership.peers.len(),
+        membership.presence.reachable(now).count(),
+    );
+    drop(membership);
+    info!(state.log(), "look-up: answered"; "scope" => scope,
+        "data-centre" => centre.as_ref().map(DataCentre::as_str),
+        "region" => region.as_ref().map(Region::as_str), "hosts" => addresses.len(),
+        "known-hosts" => known, "reachable-hosts" => reachable,
+        "running-ms" => now.since(Instant::ZERO).as_millis() as u64);
     let lifetime = LOOK_UP_LIFETIME.min(state.setting().bounds.look_up);
     let (body, kind) = state.dependencies.format.look_up(&addresses, lifetime);
     let mut response = Response::new(Full::new(body.into()));
@@ -161,6 +179,20 @@
     response
 }
 
+/// Hosts that the answer to a look-up names.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+enum Scope {
+    /// Those in the caller's data centre.
+    #[display("data-centre")]
+    DataCentre,
+    /// Those in the caller's region.
+    #[display("region")]
+    Region,
+    /// Those of all regions.
+    #[display("all")]
+    All,
+}
+
 /// Returns the addresses of the hosts for a caller.
 ///
 /// Hosts of its data centre if there are enough, else of its region, else of all regions.
@@ -168,7 +200,7 @@
     state: &State,
     centre: Option<&DataCentre>,
     region: Option<&Region>,
-) -> Vec<SocketAddr> {
+) -> (Scope, Vec<SocketAddr>) {
     let now = state.now();
     let membership = state.membership.lock();
     let own = (!state.is_leaving()).then_some(&state.own);
@@ -184,13 +216,13 @@
     };
     let near = named(&|peer| Some(&peer.data_centre) == centre);
     if near.len() >= MIN_HOSTS_IN_DATA_CENTRE {
-        return near;
+        return (Scope::DataCentre, near);
     }
     let near = named(&|peer| Some(&peer.region) == region);
     if near.is_empty() {
-        named(&|_| true)
+        (Scope::All, named(&|_| true))
     } else {
-        near
+        (Scope::Region, near)
     }
 }
 
--- a/crates/entry/src/process/metrics.rs
+++ b/crates/entry/src/process/metrics.rs
@@ -22,6 +22,7 @@
     store: IntCounterVec,
     follows: IntGaugeVec,
     relays: IntCounterVec,
+    look_ups: IntCounterVec,
     change_age: HistogramVec,
     accepted: IntCounterVec,
     server_limits: IntCounterVec,
@@ -121,6 +122,11 @@
                 "Requests to other hosts for their newer rows, by result",
                 &["result"],
             )?,
+            look_ups: new.counters(
+                "azurenotch_entry_look_ups_total",
+                "Answers to look-ups by which hosts they name",
+                &["scope"],
+            )?,
             change_age: new.histogram(
                 "azurenotch_entry_change_age_seconds",
                 "Longest time for which the store may have had a change when this host applied it",
@@ -248,6 +254,11 @@
         self.relays.with_label_values(&[result]).inc();
     }
 
+    /// Counts an answer to a look-up.
+    pub fn count_look_up(&self, scope: &str) {
+        self.look_ups.with_label_values(&[scope]).inc();
+    }
+
     /// Records the longest time for which the store may have had a change that was applied now.
     pub fn observe_change_age(&self, kind: &str, origin: &str, age: Duration) {
         self.change_age
--- a/crates/entry/src/request/forward.rs
+++ b/crates/entry/src/request/forward.rs
@@ -24,13 +24,13 @@
 };
 use azurenotch_wire::{
     hash,
-    id::{Region, Release, Server, Service},
+    id::{DataCentre, Region, Release, Server, Service},
     time::Instant,
 };
 use http::{HeaderMap, Response, StatusCode};
 use rand::random;
 use slog::warn;
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 /// Retry delay for callers when no backend server is available.
 const NO_SERVER_RETRY_DELAY: Duration = Duration::from_millis(400);
@@ -63,6 +63,9 @@
     pub(crate) release: Release,
     /// Region of the server.
     pub(crate) region: Region,
+    pub(crate) data_centre: DataCentre,
+    /// Address to which the request was sent.
+    pub(crate) address: Option<SocketAddr>,
     /// Region preferred without the limit on how fast requests move between regions.
     pub(crate) preferred_region: Region,
     pub(crate) estimate: Estimate,
@@ -272,6 +275,9 @@
                 "request" => %suspect.identity(), "server" => %target.server,
                 "version" => %target.release, "ending" => label, "send" => sends,
                 "expected-ms" => target.choice.expected.as_millis() as u64,
+                "address" => %target.pool.address(),
+                "region" => attempts.candidate.as_ref().map(|it| it.region.as_str()),
+                "allowed-regions" => regions(&self.allowed_regions),
                 "cause" => cause(ending.as_ref()));
         }
         match ending {
@@ -373,6 +379,8 @@
             server: backend.server.clone(),
             release: backend.release.clone(),
             region: backend.region.clone(),
+            data_centre: backend.data_centre.clone(),
+            address: fleet.pool(choice.index).map(|pool| pool.address()),
             preferred_region: fleet.placement.backend(preferred).region.clone(),
             estimate,
             hit_probability: choice.hit_probability,
@@ -546,6 +554,12 @@
     }
 }
 
+/// Returns the names of regions for logs; empty for all regions.
+pub(crate) fn regions(regions: &[Region]) -> String {
+    let names: Vec<&str> = regions.iter().map(Region::as_str).collect();
+    names.join(",")
+}
+
 /// Returns the hash of the object named in a header; `None` without a valid header.
 pub(crate) fn object_hash(headers: &HeaderMap, name: &http::HeaderName) -> Option<u64> {
     let value = headers.get(name)?.to_str().ok()?;
--- a/crates/entry/src/request/handler.rs
+++ b/crates/entry/src/request/handler.rs
@@ -14,7 +14,7 @@
     version::catalog::{Catalog, Denial, Grant},
 };
 use azurenotch_core::request::{admission, deadline::ANSWER_ALLOWANCE};
-use azurenotch_wire::time::Instant;
+use azurenotch_wire::{id::Region, time::Instant};
 use bytes::Bytes;
 use http::{Request, Response, StatusCode, header};
 use http_body::Body as HttpBody;
@@ -90,6 +90,8 @@
     route: String,
     workspace: String,
     version: u64,
+    /// Regions in which the request may run; empty if it may run in all.
+    allowed_regions: Vec<Region>,
     /// Time for an answer: the caller's, or that of the route if it is shorter.
     time: Option<Duration>,
     /// Whether there is an answer; otherwise the caller has left before.
@@ -120,6 +122,7 @@
             route: String::new(),
             workspace: String::new(),
             version: 0,
+            allowed_regions: Vec::new(),
             time: None,
             finished: false,
         }
@@ -171,6 +174,7 @@
                 STALE_KEYS_RETRY_DELAY,
             );
         };
+        self.allowed_regions.clone_from(&allowed_regions);
         // Last of the checks, because it takes a token of the quota.
         if let Some(outcome) = self.admit(&grant) {
             return outcome;
@@ -294,6 +298,9 @@
             "server" => candidate.map(|candidate| candidate.server.as_str()),
             "version" => candidate.map(|candidate| candidate.release.as_str()),
             "region" => candidate.map(|candidate| candidate.region.as_str()),
+            "data-centre" => candidate.map(|candidate| candidate.data_centre.as_str()),
+            "address" => candidate.and_then(|it| it.address).map(|it| it.to_string()),
+            "allowed-regions" => forward::regions(&self.allowed_regions),
             "preferred-region" => candidate.map(|candidate| candidate.preferred_region.as_str()),
             "expected-ms" => estimate.map(|estimate| ms(estimate.expected)),
             "wait-ms" => estimate.map(|estimate| ms(estimate.wait)),
