--- a/crates/entry/src/process/replica/update/tests.rs
+++ b/crates/entry/src/process/replica/update/tests.rs
@@ -1,14 +1,16 @@
 use super::{super::Replica, UPDATE_RETENTION, Update, size};
 use crate::{
-    model::{Backend, Fact, Item},
+    model::{Backend, Config, Fact, Item, Kind, Limits, Route},
     platform::Subject,
+    process::replica::Change,
 };
-use azurenotch_wire::time::Instant;
+use azurenotch_wire::{Map, time::Instant};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use std::time::Duration;
 use test_case::test_case;
 
 const SERVERS: Subject = Subject::Servers;
+const ORDERS: Subject = Subject::Orders;
 const BYTES: usize = 400;
 
 fn listed(version: u64, server: &str) -> Fact {
@@ -132,3 +134,65 @@
         }
     }
 }
+
+/// Returns a configuration of 300 routes, the first of which may run in one region.
+fn config(version: u64, region: &str) -> Config {
+    let route = |number: usize| Route {
+        host: "a.example".into(),
+        prefix: format!("/{number}/"),
+        kind: Kind::Idempotent,
+        timeout: Duration::from_secs(1),
+        objective: Duration::from_secs(1),
+        priority: 0,
+        parts: vec![("s".into(), 1)],
+        attempts: 2,
+        open: true,
+        sticky: false,
+        homes: (number == 0).then(|| region.into()).into_iter().collect(),
+    };
+    Config {
+        version,
+        routes: (0..300)
+            .map(|it| (format!("r-{it}").into(), route(it)))
+            .collect(),
+        services: Map::default(),
+        limits: Limits {
+            header_bytes: 1000,
+            body_bytes: 1000,
+            header_time: Duration::from_secs(1),
+            idle_time: Duration::from_secs(1),
+        },
+        workspaces: None,
+    }
+}
+
+fn configured(version: u64, config: Config) -> Fact {
+    Fact::new(version, Item::Config(Box::new(config)))
+}
+
+/// Guards against a change of one route that every host has to request as a whole configuration.
+#[test]
+fn a_small_change_of_a_large_configuration_fits_into_a_message() {
+    let now = Instant::ZERO;
+    let first = update(0, vec![configured(10, config(1, "norte"))], 10);
+    let mut sender = Replica::default();
+    sender.apply_store_update(now, ORDERS, first.clone(), now);
+    let mut receiver = Replica::default();
+    receiver.apply_store_update(now, ORDERS, first, now);
+    let second = config(2, "centro");
+    let change = update(10, vec![configured(12, second.clone())], 13);
+    sender.apply_store_update(now, ORDERS, change, now);
+    let mut adopted = Vec::new();
+    for part in sender.recent_updates(now, ORDERS, BYTES) {
+        let bytes: usize = part.facts.iter().filter_map(size).sum();
+        assert!(bytes <= BYTES);
+        adopted.extend(
+            receiver
+                .apply_peer_update(now, ORDERS, part)
+                .into_iter()
+                .flatten(),
+        );
+    }
+    assert_eq!(adopted, [Change::Config(second.into())]);
+    assert_eq!(receiver.freshness(ORDERS).version, 13);
+}
