fix(entry): a change of the configuration travels in messages

Callers saw: requests that ran in regions that their route's configuration no longer allows (HOME), and routes of former versions (CONFIG), at hosts that adopted a configuration late. Cause: messages between hosts never held a configuration, so that each of 295 hosts requested it as a whole from the first ones that had it, eight at a time and with 0.8 s for an answer. Change: a host that learns of a configuration that follows the one it has tells the others what differs (model::Patch), in the parts of updates that rows travel in. A patch names the configuration that it starts from, by its version and its row; a host with another one requests the whole as before. A patch that does not fit into a message is not sent.

--- a/crates/entry/src/model.rs
+++ b/crates/entry/src/model.rs
@@ -1,5 +1,9 @@
 //! Rows of the platform: configuration, backend servers, orders and the states of version moves.
 
+mod patch;
+
+pub use patch::Patch;
+
 use azurenotch_wire::{
     Map,
     id::{DataCentre, Host, Region, Release, Route as RouteName, Server, Service, Workspace},
@@ -271,4 +275,6 @@
     Outcome(Service, Option<Outcome>),
     /// Another entry host.
     Peer(Host, Option<Peer>),
+    /// How the configuration differs from the one before; only in messages between hosts.
+    Patch(Box<Patch>),
 }
--- a/crates/entry/src/process/replica.rs
+++ b/crates/entry/src/process/replica.rs
@@ -331,14 +331,14 @@
         Item::Evacuation(centre, _) => Some(Key::Evacuation(centre.clone())),
         Item::Backend(server, _) => Some(Key::Backend(server.clone())),
         Item::Outcome(service, _) => Some(Key::Outcome(service.clone())),
-        Item::Config(_) | Item::Peer(..) => None,
+        Item::Config(_) | Item::Patch(_) | Item::Peer(..) => None,
     }
 }
 
 /// Returns the subject to which a fact belongs.
 pub(crate) fn subject_of(fact: &Fact) -> Subject {
     match fact.item {
-        Item::Config(_) | Item::Move(..) | Item::Evacuation(..) => Subject::Orders,
+        Item::Config(_) | Item::Patch(_) | Item::Move(..) | Item::Evacuation(..) => Subject::Orders,
         Item::Backend(..) => Subject::Servers,
         Item::Outcome(..) => Subject::Outcomes,
         Item::Peer(..) => Subject::Hosts,
@@ -351,7 +351,7 @@
         Item::Evacuation(_, on) => !on,
         Item::Backend(_, backend) => backend.is_none(),
         Item::Outcome(_, outcome) => outcome.is_none(),
-        Item::Config(_) | Item::Peer(..) => false,
+        Item::Config(_) | Item::Patch(_) | Item::Peer(..) => false,
     }
 }
 
--- a/crates/entry/src/process/replica/adopt.rs
+++ b/crates/entry/src/process/replica/adopt.rs
@@ -20,6 +20,12 @@
         let version = fact.version;
         match fact.item {
             Item::Config(config) => self.adopt_config(version, *config),
+            Item::Patch(patch) => {
+                let (row, former) = self.config.as_ref()?;
+                let follows = patch.follows(*row, former.version);
+                let config = follows.then(|| patch.apply(former))?;
+                self.adopt_config(version, config)
+            }
             Item::Peer(_, peer) => peer.map(Change::Peer),
             item => {
                 let fact = Fact {
--- a/crates/entry/src/process/replica/hold.rs
+++ b/crates/entry/src/process/replica/hold.rs
@@ -43,7 +43,7 @@
             Item::Backend(_, backend) => backend.as_ref().is_none_or(|it| it.draining),
             Item::Evacuation(_, on) => *on,
             Item::Outcome(..) => true,
-            Item::Move(..) | Item::Config(_) | Item::Peer(..) => false,
+            Item::Move(..) | Item::Config(_) | Item::Patch(_) | Item::Peer(..) => false,
         };
         self.is_certain || is_cautious
     }
--- a/crates/entry/src/process/replica/update.rs
+++ b/crates/entry/src/process/replica/update.rs
@@ -3,7 +3,7 @@
 use super::{Change, Replica};
 use crate::{
     era::Era,
-    model::{Fact, Item},
+    model::{Fact, Item, Patch},
     platform::Subject,
 };
 use azurenotch_wire::time::Instant;
@@ -61,10 +61,11 @@
     }
 
     fn keep_received(&mut self, now: Instant, subject: Subject, update: &Update) {
+        let update = self.patched(update);
         self.received.push_back(Received {
             at: now,
             subject,
-            update: update.clone(),
+            update,
         });
         while let Some(oldest) = self.received.front()
             && now.since(oldest.at) > UPDATE_RETENTION
@@ -73,6 +74,48 @@
         }
     }
 
+    /// Returns the update with patches in place of configurations that follow a known one.
+    fn patched(&self, update: &Update) -> Update {
+        let known = self.config.as_ref();
+        let mut known = known.map(|(row, config)| (*row, config.as_ref()));
+        let facts = update.facts.iter().map(|fact| {
+            let Item::Config(config) = &fact.item else {
+                return fact.clone();
+            };
+            let former = known.replace((fact.version, config));
+            // Versions of a restored store say nothing about rows that were written before.
+            let former = former.filter(|(row, former)| {
+                let in_one_era = Era::of(*row) == Era::of(fact.version);
+                in_one_era && *row < fact.version && former.version < config.version
+            });
+            match former {
+                Some((row, former)) => {
+                    let patch = Patch::between(row, former, config);
+                    Fact::new(fact.version, Item::Patch(Box::new(patch)))
+                }
+                None => fact.clone(),
+            }
+        });
+        let facts = facts.collect();
+        Update { facts, ..*update }
+    }
+
+    /// Returns whether this host has the configurations from which the patches of an update start.
+    fn has_bases(&self, update: &Update) -> bool {
+        let known = self.config.as_ref();
+        let mut known = known.map(|(row, config)| (*row, config.version));
+        update.facts.iter().all(|fact| {
+            let Item::Patch(patch) = &fact.item else {
+                return true;
+            };
+            if known.is_some_and(|(_, version)| version >= patch.version) {
+                return true;
+            }
+            let former = known.replace((fact.version, patch.version));
+            former.is_some_and(|(row, version)| patch.follows(row, version))
+        })
+    }
+
     /// Applies an update of another host.
     ///
     /// Returns `None` if changes before it are missing or nothing in it is new.
@@ -86,6 +129,9 @@
         if freshness.version < update.after || freshness.version >= update.up_to {
             return None;
         }
+        if !self.has_bases(&update) {
+            return None;
+        }
         self.keep_received(now, subject, &update);
         let changes = self.apply(now, update.facts);
         self.advance(subject, update.up_to);
@@ -96,8 +142,8 @@
     /// Returns the recent changes of a subject in parts of at most about `bytes`, oldest first.
     ///
     /// Each part follows the one before it; the last one ends with the present version. There is
-    /// always a last part, which may be empty. Configurations are too large for a message, so that the
-    /// parts begin after them.
+    /// always a last part, which may be empty. Rows that are too large for a message are not in them, so
+    /// that the parts begin after those: among them are configurations without a patch.
     pub fn recent_updates(&self, now: Instant, subject: Subject, bytes: usize) -> Vec<Update> {
         let version = self.freshness(subject).version;
         let recent = self.received.iter().filter(|it| {
