fix(entry): each send goes by the homes in force

Callers saw: a request that was repeated, or sent late, ran in a region that its route no longer allows (HOME). Cause: the regions were those of the configuration that admitted the request, for all its sends; the class is a permission that is used after it has run out. Change: each choice of a server, and the look after its connection was opened, go by the route and the workspace of the configuration in force (Catalog::renew). What was removed since stays as it was: the request had been admitted. Result: a_repeat_goes_by_the_homes_in_force_when_it_is_sent failed before (second run in the former region), passes now.

--- a/crates/entry/src/process/state.rs
+++ b/crates/entry/src/process/state.rs
@@ -9,7 +9,7 @@
     request::suspect::Check,
     setting::Setting,
     version::{
-        catalog::Catalog,
+        catalog::{Catalog, Grant},
         fleet::{Fleet, Location},
     },
 };
@@ -301,6 +301,18 @@
         !self.is_leaving() && self.catalog.load().is_some()
     }
 
+    /// Returns the regions in which a request may run by the configuration in force.
+    ///
+    /// `None` if it may run in none, and empty if it may run in all.
+    pub fn allowed_regions(&self, grant: &Grant) -> Option<Vec<Region>> {
+        match &*self.catalog.load() {
+            Some(catalog) if catalog.version != grant.version => {
+                catalog.renew(grant).allowed_regions()
+            }
+            _ => grant.allowed_regions(),
+        }
+    }
+
     /// Returns the version of the configuration in force; 0 for none.
     pub fn configuration_version(&self) -> u64 {
         let catalog = self.catalog.load();
--- a/crates/entry/src/request/attempt.rs
+++ b/crates/entry/src/request/attempt.rs
@@ -9,6 +9,7 @@
         reply::{Body, GaugeGuard, Stream},
         suspect::Permit,
     },
+    version::catalog::Grant,
 };
 use azurenotch_core::{
     request::{
@@ -18,7 +19,7 @@
     version::placement::{Choice, Load, Verdict},
 };
 use azurenotch_wire::{
-    id::{Release, Route, Server, Service},
+    id::{Region, Release, Server, Service},
     time::Instant,
 };
 use bytes::{Bytes, BytesMut};
@@ -88,7 +89,10 @@
 /// Backend server of one send.
 #[derive(Debug, Clone)]
 pub(crate) struct Target {
-    pub(crate) route: Route,
+    /// Route and workspace of the request.
+    pub(crate) grant: Grant,
+    /// Region of the server.
+    pub(crate) region: Region,
     pub(crate) service: Service,
     pub(crate) server: Server,
     /// Start of the server's process.
@@ -165,7 +169,12 @@
             Verdict::Abandoned if slow => false,
             Verdict::Abandoned | Verdict::Shed | Verdict::Paused | Verdict::Unreachable => return,
         };
-        fleet.observe_release(&self.target.route, &self.target.release, failed, slow);
+        fleet.observe_release(
+            &self.target.grant.entry.name,
+            &self.target.release,
+            failed,
+            slow,
+        );
     }
 }
 
@@ -262,8 +271,13 @@
 
 /// Returns whether nothing was heard of the server, since it was chosen, that forbids the send.
 ///
-/// Opening a connection takes time, in which the server may have left.
+/// Opening a connection takes time, in which the server may have left, or another configuration may
+/// have come into force.
 fn is_still_available(state: &State, target: &Target, now: Instant) -> bool {
+    let allowed = state.allowed_regions(&target.grant);
+    if !allowed.is_some_and(|it| it.is_empty() || it.contains(&target.region)) {
+        return false;
+    }
     let fleets = state.fleets.lock();
     let fleet = fleets.get(&target.service);
     fleet.is_some_and(|fleet| fleet.placement.may_send(now, &target.choice))
--- a/crates/entry/src/request/forward.rs
+++ b/crates/entry/src/request/forward.rs
@@ -44,8 +44,6 @@
 pub(crate) struct Forwarder<'a> {
     pub(crate) state: &'a Arc<State>,
     pub(crate) grant: &'a Grant,
-    /// Regions in which the request may run; empty if it may run in all.
-    pub(crate) allowed_regions: Vec<Region>,
     pub(crate) service: Service,
     /// Hash of the object that the request is for, used for affinity; `None` without one.
     pub(crate) object: Option<u64>,
@@ -104,6 +102,8 @@
     running_version_only: bool,
     /// Failure of a backend server, which is passed on unless a later send succeeds.
     failure: Option<Response<Body>>,
+    /// Regions in which the request may run as of the last choice; empty if it may run in all.
+    allowed_regions: Vec<Region>,
     candidate: Option<Candidate>,
 }
 
@@ -277,7 +277,7 @@
                 "expected-ms" => target.choice.expected.as_millis() as u64,
                 "address" => %target.pool.address(),
                 "region" => attempts.candidate.as_ref().map(|it| it.region.as_str()),
-                "allowed-regions" => regions(&self.allowed_regions),
+                "allowed-regions" => regions(&attempts.allowed_regions),
                 "cause" => cause(ending.as_ref()));
         }
         match ending {
@@ -348,6 +348,11 @@
                 return Next::Refuse(Reason::Overload, retry_after(Duration::ZERO));
             }
         }
+        // They may have changed since the request came or was sent last.
+        let Some(allowed_regions) = self.state.allowed_regions(self.grant) else {
+            return Next::Refuse(Reason::NoServer, retry_after(NO_SERVER_RETRY_DELAY));
+        };
+        attempts.allowed_regions = allowed_regions;
         let hosts = self.state.host_count();
         let mut fleets = self.state.fleets.lock();
         let Some(fleet) = fleets.get_mut(&self.service) else {
@@ -408,7 +413,8 @@
         let incarnation = backend.incarnation;
         let connections = (fleet.connections as usize / hosts.max(1)).max(1);
         let target = Target {
-            route: self.grant.entry.name.clone(),
+            grant: self.grant.clone(),
+            region: backend.region.clone(),
             release,
             service: self.service.clone(),
             server,
@@ -432,7 +438,7 @@
         selection: Selection,
     ) -> Option<(Choice, usize)> {
         let running = fleet.running();
-        let spilled_regions = self.spilled_regions(now, fleet, &selection);
+        let spilled_regions = self.spilled_regions(now, fleet, attempts, &selection);
         let query = Query {
             excluded_regions: &spilled_regions,
             ..self.query(fleet, attempts, selection.release.as_ref())
@@ -473,7 +479,7 @@
             object: self.object,
             route: self.grant.entry.hash,
             release,
-            allowed_regions: &self.allowed_regions,
+            allowed_regions: &attempts.allowed_regions,
             excluded_regions: &[],
             excluded_servers: &attempts.tried,
             objective: self.grant.entry.route.objective,
@@ -483,7 +489,13 @@
     }
 
     /// Returns this host's region if the request belongs to the share that spills over, else none.
-    fn spilled_regions(&self, now: Instant, fleet: &Fleet, selection: &Selection) -> Vec<Region> {
+    fn spilled_regions(
+        &self,
+        now: Instant,
+        fleet: &Fleet,
+        attempts: &Attempts,
+        selection: &Selection,
+    ) -> Vec<Region> {
         let route = self.grant.entry.hash;
         let work = fleet.placement.average_work(route);
         let slots = fleet.placement.region_slots(selection.release.as_ref());
@@ -494,8 +506,8 @@
             None => random::<f64>() < share,
         };
         let region = &self.state.own.region;
-        let elsewhere = self.allowed_regions.is_empty()
-            || self.allowed_regions.iter().any(|allowed| allowed != region);
+        let allowed = &attempts.allowed_regions;
+        let elsewhere = allowed.is_empty() || allowed.iter().any(|allowed| allowed != region);
         if spills && elsewhere {
             vec![region.clone()]
         } else {
--- a/crates/entry/src/request/handler.rs
+++ b/crates/entry/src/request/handler.rs
@@ -205,7 +205,6 @@
         let forwarder = Forwarder {
             state: self.state,
             grant: &grant,
-            allowed_regions,
             service: grant.entry.next_service().clone(),
             object: object.flatten(),
             arrived: self.arrived,
--- a/crates/entry/src/version/catalog.rs
+++ b/crates/entry/src/version/catalog.rs
@@ -65,6 +65,8 @@
 /// Route and workspace of a request that the configuration allows.
 #[derive(Debug, Clone)]
 pub struct Grant {
+    /// Version of the configuration.
+    pub version: u64,
     /// Route that matches the request.
     pub entry: Arc<Entry>,
     /// Workspace of the key; `None` on an open route without a valid key, or if there are no keys.
@@ -109,6 +111,28 @@
         }
     }
 
+    /// Returns the route and the workspace that a grant of an earlier configuration has in this one.
+    ///
+    /// What was removed since, or has lost all keys that it had, stays as it was.
+    pub fn renew(&self, grant: &Grant) -> Grant {
+        let routes = self.routes_by_host.get(&grant.entry.route.host);
+        let mut routes = routes.into_iter().flatten();
+        let entry = routes.find(|entry| entry.name == grant.entry.name);
+        let workspace = grant.workspace.as_ref().map(|former| {
+            let workspaces = self.workspaces_by_key.iter();
+            let keys = former.contract.keys.iter();
+            let current = workspaces
+                .flat_map(|workspaces| keys.clone().filter_map(|key| workspaces.get(key)))
+                .find(|workspace| workspace.name == former.name);
+            Arc::clone(current.unwrap_or(former))
+        });
+        Grant {
+            version: self.version,
+            entry: Arc::clone(entry.unwrap_or(&grant.entry)),
+            workspace,
+        }
+    }
+
     /// Returns the route of a request and the workspace of its key.
     ///
     /// The port of `host` and the case of its letters do not matter. `scheme` is the scheme of the
@@ -145,6 +169,7 @@
             return Err(Denial::UnknownKey);
         }
         Ok(Grant {
+            version: self.version,
             entry: Arc::clone(entry),
             workspace: workspace.cloned(),
         })
