fix(entry): answers between hosts are compressed

Callers saw: requests handled by a former configuration (HOME, CONFIG) after a change of many routes at 295 hosts. Cause: a configuration of 1,700 routes has 158 KB; the eight answers that a host gives at a time need 1.7 s on half of a link of 12 Mbit/s, and the hosts that asked give up after 0.8 s, all of them. Change: answers to hosts that accept it are compressed (flate2, pure Rust); hosts of earlier builds get them as before. What does not decompress, or to more than 8 MB, is an error of that request.

--- a/crates/entry/src/process/control.rs
+++ b/crates/entry/src/process/control.rs
@@ -37,7 +37,7 @@
 ///
 /// Load pattern: after a loss of power hundreds of hosts ask the only one that has the rows. Its
 /// link of 20 Mbit/s would serve none of them in time; some are, and then serve others.
-const MAX_RELAYS: usize = 8;
+pub(crate) const MAX_RELAYS: usize = 8;
 /// Longest time for which a connection of another host is kept.
 const MAX_RELAY_TIME: Duration = Duration::from_millis(1_500);
 /// Pause after a failure to accept a connection.
--- a/crates/entry/src/process/relay.rs
+++ b/crates/entry/src/process/relay.rs
@@ -15,7 +15,8 @@
 use azurenotch_platform::http::interim;
 use azurenotch_wire::time::Instant;
 use bytes::Bytes;
-use http::{Request, Response, StatusCode};
+use flate2::{Compression, read::DeflateDecoder, write::DeflateEncoder};
+use http::{HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{body::Incoming, client::conn::http1 as client};
 use hyper_util::rt::TokioIo;
@@ -23,7 +24,12 @@
 use serde::{Deserialize, Serialize};
 use slog::{debug, info, warn};
 use snafu::{ResultExt, Snafu};
-use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    io::{self, Read, Write},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
 use tokio::{
     net::TcpStream,
     select,
@@ -36,6 +42,11 @@
 ///
 /// The query holds the versions of orders, servers and the configuration that the client has.
 const FACTS_PATH: &str = "/facts";
+/// Name of the compression of answers.
+///
+/// A configuration of 1,700 routes has hundreds of kilobytes, of which eight at a time take longer than
+/// [`REQUEST_TIMEOUT`] on a link of 12 Mbit/s unless they are compressed.
+const DEFLATE: &str = "deflate";
 /// Timeout of a request to another host.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(800);
 /// Time for the messages that contain a change to arrive one after the other.
@@ -67,6 +78,10 @@
     Body {
         source: Box<dyn std::error::Error + Send + Sync>,
     },
+    #[snafu(display("cannot encode the answer: {source}"))]
+    Encode { source: rmp_serde::encode::Error },
+    #[snafu(display("cannot compress or decompress the answer: {source}"))]
+    Compress { source: io::Error },
     #[snafu(display("cannot decode the answer: {source}"))]
     Decode { source: rmp_serde::decode::Error },
 }
@@ -77,6 +92,33 @@
     updates: [Update; 3],
 }
 
+impl Answer {
+    /// Encodes the answer, compressed if the client accepts that.
+    fn encode(&self, compresses: bool) -> Result<Vec<u8>> {
+        let bytes = rmp_serde::to_vec(self).context(EncodeSnafu)?;
+        if !compresses {
+            return Ok(bytes);
+        }
+        let mut encoder = DeflateEncoder::new(Vec::new(), Compression::fast());
+        encoder.write_all(&bytes).context(CompressSnafu)?;
+        encoder.finish().context(CompressSnafu)
+    }
+
+    /// Decodes an answer of at most [`MAX_ANSWER_BYTES`] once it is decompressed.
+    fn decode(bytes: &[u8], compressed: bool) -> Result<Self> {
+        if !compressed {
+            return rmp_serde::from_slice(bytes).context(DecodeSnafu);
+        }
+        let mut plain = Vec::new();
+        let limit = MAX_ANSWER_BYTES as u64;
+        DeflateDecoder::new(bytes)
+            .take(limit)
+            .read_to_end(&mut plain)
+            .context(CompressSnafu)?;
+        rmp_serde::from_slice(&plain).context(DecodeSnafu)
+    }
+}
+
 /// Answers a request for updates.
 pub(crate) fn answer(state: &State, request: &Request<Incoming>) -> Response<Full<Bytes>> {
     if request.uri().path() != FACTS_PATH {
@@ -96,8 +138,20 @@
         }),
     };
     drop(replica);
-    match rmp_serde::to_vec(&answer) {
-        Ok(bytes) => Response::new(Full::new(bytes.into())),
+    // Hosts of earlier builds do not ask for it.
+    let accepted = request.headers().get(header::ACCEPT_ENCODING);
+    let compresses = accepted.is_some_and(|it| it == DEFLATE);
+    match answer.encode(compresses) {
+        Ok(bytes) => {
+            let mut response = Response::new(Full::new(bytes.into()));
+            if compresses {
+                let encoding = HeaderValue::from_static(DEFLATE);
+                response
+                    .headers_mut()
+                    .insert(header::CONTENT_ENCODING, encoding);
+            }
+            response
+        }
         Err(error) => {
             warn!(state.log(), "relay: cannot encode answer"; "error" => %error);
             status(StatusCode::INTERNAL_SERVER_ERROR)
@@ -225,6 +279,9 @@
         .context(ExchangeSnafu)?;
     let mut request = Request::new(Full::<Bytes>::default());
     *request.uri_mut() = uri.parse().context(UriSnafu)?;
+    request
+        .headers_mut()
+        .insert(header::ACCEPT_ENCODING, HeaderValue::from_static(DEFLATE));
     interim.follow(&mut request);
     let answer = async move {
         let answer = sender.send_request(request).await.context(ExchangeSnafu)?;
@@ -232,9 +289,11 @@
         if !status.is_success() {
             return BusySnafu { status }.fail();
         }
+        let encoding = answer.headers().get(header::CONTENT_ENCODING);
+        let compressed = encoding.is_some_and(|it| it == DEFLATE);
         let body = Limited::new(answer.into_body(), MAX_ANSWER_BYTES);
         let body = body.collect().await.context(BodySnafu)?;
-        rmp_serde::from_slice(&body.to_bytes()).context(DecodeSnafu)
+        Answer::decode(&body.to_bytes(), compressed)
     };
     let mut answer = std::pin::pin!(answer);
     select! {
@@ -243,3 +302,6 @@
         _ = connection => answer.await,
     }
 }
+
+#[cfg(test)]
+mod tests;
