fix(entry): writes in several parts count as writes

Cause: only poll_write noted when an answer was last written. Change: there is one way on which bytes are written, and it notes the time.

--- a/crates/entry/src/connection/pipeline.rs
+++ b/crates/entry/src/connection/pipeline.rs
@@ -28,7 +28,7 @@
 use std::{
     collections::VecDeque,
     future::{self, poll_fn},
-    io,
+    io::{self, IoSlice},
     pin::Pin,
     sync::Arc,
     task::{Context, Poll, ready},
@@ -343,19 +343,20 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let Self {
-            writer, written, ..
-        } = self.get_mut();
-        *written = Some(time::Instant::now());
-        Pin::new(writer).poll_write(cx, bytes)
+        self.poll_write_vectored(cx, &[IoSlice::new(bytes)])
     }
 
     fn poll_write_vectored(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-        parts: &[io::IoSlice<'_>],
+        parts: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.get_mut().writer).poll_write_vectored(cx, parts)
+        // The only way on which bytes are written, so that none is missed.
+        let Self {
+            writer, written, ..
+        } = self.get_mut();
+        *written = Some(time::Instant::now());
+        Pin::new(writer).poll_write_vectored(cx, parts)
     }
 
     fn is_write_vectored(&self) -> bool {
