fix(entry): a closed connection is read on for half a second

Callers that paused for more than 0.15 s while they sent the next request lost what they had not received of their last answer (LOST). Cause: LINGER_TIME was 0.15 s, less than a round trip between continents or the pause of a busy caller. Change: 0.5 s after the last byte, 2 s at the most, as before.

--- a/crates/entry/src/connection/pipeline.rs
+++ b/crates/entry/src/connection/pipeline.rs
@@ -54,7 +54,8 @@
 ///
 /// The system resets a connection on which bytes arrive after it was closed, and discards what the caller
 /// has not received of its last answer. Bytes that are read here are no request that anybody waits for.
-const LINGER_TIME: Duration = Duration::from_millis(150);
+/// Covers a round trip between continents, or the pause of a busy caller. Most callers close at once.
+const LINGER_TIME: Duration = Duration::from_millis(500);
 /// Longest time for which a closed connection is read.
 const MAX_LINGER_TIME: Duration = Duration::from_secs(2);
 /// Size of one read ahead of the library, in bytes.
