--- a/crates/entry/src/connection/pipeline.rs
+++ b/crates/entry/src/connection/pipeline.rs
@@ -28,7 +28,7 @@
 use std::{
     collections::VecDeque,
     future::{self, poll_fn},
-    io,
+    io::{self, IoSlice},
     pin::Pin,
     sync::Arc,
     task::{Context, Poll, ready},
@@ -54,7 +54,8 @@
 ///
 /// The system resets a connection on which bytes arrive after it was closed, and discards what the caller
 /// has not received of its last answer. Bytes that are read here are no request that anybody waits for.
-const LINGER_TIME: Duration = Duration::from_millis(150);
+/// Covers a round trip between continents, or the pause of a busy caller. Most callers close at once.
+const LINGER_TIME: Duration = Duration::from_millis(500);
 /// Longest time for which a closed connection is read.
 const MAX_LINGER_TIME: Duration = Duration::from_secs(2);
 /// Size of one read ahead of the library, in bytes.
@@ -343,19 +344,20 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let Self {
-            writer, written, ..
-        } = self.get_mut();
-        *written = Some(time::Instant::now());
-        Pin::new(writer).poll_write(cx, bytes)
+        self.poll_write_vectored(cx, &[IoSlice::new(bytes)])
     }
 
     fn poll_write_vectored(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-        parts: &[io::IoSlice<'_>],
+        parts: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.get_mut().writer).poll_write_vectored(cx, parts)
+        // The only way on which bytes are written, so that none is missed.
+        let Self {
+            writer, written, ..
+        } = self.get_mut();
+        *written = Some(time::Instant::now());
+        Pin::new(writer).poll_write_vectored(cx, parts)
     }
 
     fn is_write_vectored(&self) -> bool {
