fix(entry): a patch starts from the content that a host has

A search over hosts that read, tell and request configurations while the store comes back from older copies found hosts with a configuration that nobody ever wrote (routes of two of them mixed). Cause: a host that had a version of the configuration took over the row of another content that was written under the same version after a restore. It kept its own content, so that patches from that row passed the check at a host to which they do not apply. Change: the row is taken over only with the same content; a host with another content requests the whole configuration.

--- a/crates/entry/src/process/relay.rs
+++ b/crates/entry/src/process/relay.rs
@@ -237,7 +237,8 @@
     state.apply(changes, source);
 }
 
-fn apply_update(
+/// Applies an update of another host that was requested by one which had the version `known`.
+pub(crate) fn apply_update(
     now: Instant,
     replica: &mut Replica,
     subject: Subject,
--- a/crates/entry/src/process/replica/adopt.rs
+++ b/crates/entry/src/process/replica/adopt.rs
@@ -46,7 +46,8 @@
             {
                 self.completeness.end_gap();
             }
-            if known.version == config.version {
+            // Patches start from the content of a row, which another one of its version is not.
+            if **known == config {
                 *row = version.max(*row);
             }
             if known.version >= config.version {
