fix(entry): a server of an unknown region gets no bound requests

Cause: a data centre that the list of data centres lacks counted as part of this host's region, so that a request bound to that region could run wherever the server stands (HOME). Change: the region of a server may be unknown (None). Requests that are bound to regions do not go there; others still do, as to a server of another region. This host's own data centre has its region, listed or not. A row that moves its server to another region renews the hash of the region as well. All hosts may be senders of a server whose region is not known.

--- a/crates/core/src/process/senders.rs
+++ b/crates/core/src/process/senders.rs
@@ -82,11 +82,15 @@
 /// Returns the hosts among which the senders of a server in `region` are chosen.
 ///
 /// These are the hosts of the region and of regions that have no server of the same service;
-/// `served` names those that have one. All hosts are candidates if none of these is known.
-pub fn candidates(hosts: &[(Region, Host)], region: &Region, served: &[&Region]) -> Vec<Host> {
+/// `served` names those that have one. A region that is not known has all hosts. All hosts are candidates if none of these is known.
+pub fn candidates(
+    hosts: &[(Region, Host)],
+    region: Option<&Region>,
+    served: &[&Region],
+) -> Vec<Host> {
     let near = hosts
         .iter()
-        .filter(|(it, _)| it == region || !served.contains(&it));
+        .filter(|(it, _)| region.is_none_or(|region| it == region) || !served.contains(&it));
     let near: Vec<Host> = near.map(|(_, host)| host.clone()).collect();
     if near.is_empty() {
         return hosts.iter().map(|(_, host)| host.clone()).collect();
--- a/crates/core/src/process/senders/tests.rs
+++ b/crates/core/src/process/senders/tests.rs
@@ -62,7 +62,11 @@
         hosts.map(|(number, it)| (Region::from(*it), Host::from(format!("h{number}-{it}"))));
     let hosts: Vec<(Region, Host)> = hosts.collect();
     let served: Vec<Region> = case.served.iter().map(|it| Region::from(*it)).collect();
-    let found = candidates(&hosts, &"a".into(), &served.iter().collect::<Vec<_>>());
+    let found = candidates(
+        &hosts,
+        Some(&"a".into()),
+        &served.iter().collect::<Vec<_>>(),
+    );
     let found: Vec<&str> = found
         .iter()
         .filter_map(|it| it.as_str().split('-').nth(1))
--- a/crates/core/src/version/placement/entry.rs
+++ b/crates/core/src/version/placement/entry.rs
@@ -60,8 +60,8 @@
     pub release: Release,
     /// Its data centre.
     pub data_centre: DataCentre,
-    /// Its region.
-    pub region: Region,
+    /// Its region; `None` if it is not known.
+    pub region: Option<Region>,
     /// Distance from this host.
     pub tier: Tier,
     /// Requests that it runs concurrently, for all hosts together.
@@ -113,11 +113,15 @@
     direct: bool,
 }
 
+fn region_hash(backend: &Backend) -> u64 {
+    hash::hash64(backend.region.as_ref().map_or("", Region::as_str))
+}
+
 impl Entry {
     pub(super) fn new(now: Instant, backend: &Backend) -> Self {
         Self {
             hash: hash::hash64(backend.server.as_str()),
-            region_hash: hash::hash64(backend.region.as_str()),
+            region_hash: region_hash(backend),
             warmup_senders: None,
             awaits_health_check: false,
             listed: true,
@@ -153,6 +157,7 @@
         if !backend.cold.is_zero() {
             self.set_cold(now, backend.cold);
         }
+        self.region_hash = region_hash(backend);
         self.backend = backend.clone();
     }
 
@@ -208,9 +213,14 @@
             && may_send
             && self.backoff.is_none_or(|(until, _)| now >= until)
             && query.release.is_none_or(|it| *it == self.backend.release)
-            && (query.allowed_regions.is_empty()
-                || query.allowed_regions.contains(&self.backend.region))
-            && !query.excluded_regions.contains(&self.backend.region)
+            && (query.allowed_regions.is_empty() || self.is_in(query.allowed_regions))
+            && !self.is_in(query.excluded_regions)
+    }
+
+    /// Returns whether the server is known to stand in one of the regions.
+    fn is_in(&self, regions: &[Region]) -> bool {
+        let region = self.backend.region.as_ref();
+        region.is_some_and(|region| regions.contains(region))
     }
 
     /// Withholds requests until `until`, or longer if the server has asked for a longer pause.
--- a/crates/core/src/version/placement/mod.rs
+++ b/crates/core/src/version/placement/mod.rs
@@ -487,7 +487,7 @@
 /// The highest-ranked servers of one region for an object, which are the same at all hosts.
 #[derive(Debug)]
 struct RegionRanking {
-    region: Region,
+    region: Option<Region>,
     /// Rank and index of the home server.
     first: (u64, usize),
     /// Rank and index of the server that gets the requests for which the home server has no room.
--- a/crates/core/src/version/placement/tests.rs
+++ b/crates/core/src/version/placement/tests.rs
@@ -15,7 +15,7 @@
         incarnation: 1,
         release: "v1".into(),
         data_centre: format!("{region}-a").into(),
-        region: region.into(),
+        region: Some(region.into()),
         tier,
         slots: 9,
         draining: false,
@@ -238,7 +238,7 @@
     let mut placement = placement(0, 8);
     for number in 8..16 {
         let elsewhere = Backend {
-            region: "elsewhere".into(),
+            region: Some("elsewhere".into()),
             ..backend(number, Tier::Remote)
         };
         placement.insert(Instant::ZERO, &elsewhere);
@@ -246,7 +246,7 @@
     let objects = 200;
     let far = (0..objects).filter(|object| {
         let choice = choose(&mut placement, Instant::ZERO, *object);
-        placement.backend(choice.index).region.as_str() == "far"
+        placement.backend(choice.index).region == Some("far".into())
     });
     let share = far.count() as f64 / objects as f64;
     assert!((0.35..=0.65).contains(&share), "{share} go to one region");
--- a/crates/core/tests/server_limit/node.rs
+++ b/crates/core/tests/server_limit/node.rs
@@ -61,7 +61,7 @@
         incarnation: process,
         release: "v1".into(),
         data_centre: "a-1".into(),
-        region: "a".into(),
+        region: Some("a".into()),
         tier: Tier::Local,
         slots: 100,
         draining: false,
@@ -106,7 +106,7 @@
         let region = Region::from("a");
         let known = self.presence.serving().cloned().chain([self.name.clone()]);
         let known: Vec<(Region, Host)> = known.map(|host| (region.clone(), host)).collect();
-        let hosts = candidates(&known, &region, &[&region]);
+        let hosts = candidates(&known, Some(&region), &[&region]);
         let place = Place::new(hash64(SERVER), &self.name, &hosts, max_senders(limit));
         let mut place = place.filter(|_| at >= self.started + JOIN_MS);
         if flaw == Flaw::FullStart && at < self.started + FULL_START_MS {
--- a/crates/entry/src/process/server_limit.rs
+++ b/crates/entry/src/process/server_limit.rs
@@ -154,10 +154,13 @@
                 continue;
             }
             let hosts = hosts.get_or_insert_with(|| self.hosts_by_region());
-            let served: Set<&Region> = placement.backends().map(|(_, it)| &it.region).collect();
+            let served = placement
+                .backends()
+                .filter_map(|(_, it)| it.region.as_ref());
+            let served: Set<&Region> = served.collect();
             let served: Vec<&Region> = served.into_iter().collect();
             let places = placement.limited(now).map(|(index, backend, limit)| {
-                let candidates = candidates(hosts, &backend.region, &served);
+                let candidates = candidates(hosts, backend.region.as_ref(), &served);
                 let id = hash64(backend.server.as_str());
                 let is_candidate = candidates.contains(&self.own.host);
                 let place = Place::new(id, &self.own.host, &candidates, max_senders(limit));
--- a/crates/entry/src/process/state.rs
+++ b/crates/entry/src/process/state.rs
@@ -485,7 +485,9 @@
                 .placement
                 .backends()
                 .map(|(index, backend)| {
-                    let hosts = hosts_by_region.get(&backend.region).unwrap_or(&all);
+                    let region = backend.region.as_ref();
+                    let hosts = region.and_then(|region| hosts_by_region.get(region));
+                    let hosts = hosts.unwrap_or(&all);
                     let server = hash::hash64(backend.server.as_str());
                     let place = Place::new(server, &self.own.host, hosts, warmup::MAX_SENDERS);
                     (index, place.map(|it| it.senders))
@@ -493,8 +495,10 @@
                 .collect();
             for (index, sender_count) in sender_counts {
                 // If the server's region has hosts, only they may send to it while it is cold.
-                let region = &fleet.placement.backend(index).region;
-                let may_send = *region == self.own.region || !hosts_by_region.contains_key(region);
+                let region = fleet.placement.backend(index).region.as_ref();
+                let may_send = region.is_none_or(|region| {
+                    *region == self.own.region || !hosts_by_region.contains_key(region)
+                });
                 fleet
                     .placement
                     .set_warmup_senders(index, sender_count.filter(|_| may_send));
--- a/crates/entry/src/request/attempt.rs
+++ b/crates/entry/src/request/attempt.rs
@@ -91,8 +91,8 @@
 pub(crate) struct Target {
     /// Route and workspace of the request.
     pub(crate) grant: Grant,
-    /// Region of the server.
-    pub(crate) region: Region,
+    /// Region of the server; `None` if it is not known.
+    pub(crate) region: Option<Region>,
     pub(crate) service: Service,
     pub(crate) server: Server,
     /// Start of the server's process.
@@ -275,7 +275,9 @@
 /// have come into force.
 fn is_still_available(state: &State, target: &Target, now: Instant) -> bool {
     let allowed = state.allowed_regions(&target.grant);
-    if !allowed.is_some_and(|it| it.is_empty() || it.contains(&target.region)) {
+    let region = target.region.as_ref();
+    let is_in = |allowed: &[Region]| region.is_some_and(|region| allowed.contains(region));
+    if !allowed.is_some_and(|it| it.is_empty() || is_in(&it)) {
         return false;
     }
     let fleets = state.fleets.lock();
--- a/crates/entry/src/request/forward.rs
+++ b/crates/entry/src/request/forward.rs
@@ -59,13 +59,13 @@
 pub(crate) struct Candidate {
     pub(crate) server: Server,
     pub(crate) release: Release,
-    /// Region of the server.
-    pub(crate) region: Region,
+    /// Region of the server; `None` if it is not known.
+    pub(crate) region: Option<Region>,
     pub(crate) data_centre: DataCentre,
     /// Address to which the request was sent.
     pub(crate) address: Option<SocketAddr>,
     /// Region preferred without the limit on how fast requests move between regions.
-    pub(crate) preferred_region: Region,
+    pub(crate) preferred_region: Option<Region>,
     pub(crate) estimate: Estimate,
     /// Probability that the server has the object in its cache.
     pub(crate) hit_probability: f64,
@@ -276,7 +276,7 @@
                 "version" => %target.release, "ending" => label, "send" => sends,
                 "expected-ms" => target.choice.expected.as_millis() as u64,
                 "address" => %target.pool.address(),
-                "region" => attempts.candidate.as_ref().map(|it| it.region.as_str()),
+                "region" => attempts.candidate.as_ref().and_then(|it| it.region.as_ref()).map(Region::as_str),
                 "allowed-regions" => regions(&attempts.allowed_regions),
                 "cause" => cause(ending.as_ref()));
         }
@@ -404,11 +404,10 @@
         }
         let backend = fleet.placement.backend(choice.index);
         // Refused requests move no load between regions, so only requests that are sent count.
-        let preferred_region = &fleet.placement.backend(preferred).region;
-        self.state
-            .slew
-            .lock()
-            .count(now, preferred_region, &backend.region);
+        let preferred_region = fleet.placement.backend(preferred).region.as_ref();
+        if let Some((preferred, sent)) = preferred_region.zip(backend.region.as_ref()) {
+            self.state.slew.lock().count(now, preferred, sent);
+        }
         let (server, release) = (backend.server.clone(), backend.release.clone());
         let incarnation = backend.incarnation;
         let connections = (fleet.connections as usize / hosts.max(1)).max(1);
@@ -456,9 +455,9 @@
             (placement.choose(now, &query)?, query)
         };
         let excluded_regions = self.state.slew.lock().excluded_regions(now);
-        let region = &placement.backend(preferred.index).region;
+        let region = placement.backend(preferred.index).region.as_ref();
         let mut choice = preferred;
-        if excluded_regions.contains(region) {
+        if region.is_some_and(|region| excluded_regions.contains(region)) {
             let query = Query {
                 excluded_regions: &excluded_regions,
                 ..query
--- a/crates/entry/src/version/fleet.rs
+++ b/crates/entry/src/version/fleet.rs
@@ -104,8 +104,8 @@
 
     /// Adds a backend server, or updates its listing.
     ///
-    /// A server whose address has changed gets a new connection pool. A data centre without a known
-    /// region counts as part of this host's region.
+    /// A server whose address has changed gets a new connection pool. One whose region is not known
+    /// gets no requests that are bound to regions.
     pub fn insert(
         &mut self,
         now: Instant,
@@ -114,10 +114,11 @@
         listing: &model::Backend,
     ) {
         let region = location.regions.get(&listing.data_centre);
-        let region = region.cloned().unwrap_or_else(|| location.region.clone());
-        let tier = if listing.data_centre == location.data_centre {
+        let is_local = listing.data_centre == location.data_centre;
+        let region = region.or_else(|| is_local.then_some(&location.region));
+        let tier = if is_local {
             Tier::Local
-        } else if region == location.region {
+        } else if region == Some(&location.region) {
             Tier::Region
         } else {
             Tier::Remote
@@ -129,7 +130,7 @@
                 incarnation: listing.born_ms.unwrap_or_default(),
                 release: listing.release.clone(),
                 data_centre: listing.data_centre.clone(),
-                region,
+                region: region.cloned(),
                 tier,
                 slots: listing.slots,
                 draining: listing.draining,
--- a/crates/entry/src/version/fleet/tests.rs
+++ b/crates/entry/src/version/fleet/tests.rs
@@ -5,8 +5,8 @@
     era::Era,
     model::{Backend, Move, Outcome, Progress},
 };
-use azurenotch_core::process::retry::Limit;
-use azurenotch_wire::{Map, time::Instant};
+use azurenotch_core::{process::retry::Limit, version::placement::Query};
+use azurenotch_wire::{Map, id::Region, time::Instant};
 use std::time::Duration;
 use test_case::test_case;
 
@@ -16,6 +16,19 @@
     window: Duration::from_secs(10),
 };
 
+fn listing(release: &str, data_centre: &str) -> Backend {
+    Backend {
+        service: "s".into(),
+        address: "127.0.0.1:80".parse().expect("valid address"),
+        data_centre: data_centre.into(),
+        release: release.into(),
+        slots: 9,
+        draining: false,
+        cold: Duration::ZERO,
+        born_ms: None,
+    }
+}
+
 fn fleet(versions: &[(&str, usize)]) -> Fleet {
     let location = Location {
         data_centre: "a".into(),
@@ -25,16 +38,7 @@
     let mut fleet = Fleet::new(Duration::from_millis(500), LIMIT);
     for (release, count) in versions {
         for number in 0..*count {
-            let backend = Backend {
-                service: "s".into(),
-                address: "127.0.0.1:80".parse().expect("valid address"),
-                data_centre: "a".into(),
-                release: (*release).into(),
-                slots: 9,
-                draining: false,
-                cold: Duration::ZERO,
-                born_ms: None,
-            };
+            let backend = listing(release, "a");
             let server = format!("{release}-{number}").into();
             fleet.insert(Instant::ZERO, &location, &server, &backend);
         }
@@ -148,3 +152,57 @@
     fleet.set_order(Instant::ZERO, case.version, Some(&order(case.to)), 0.1);
     assert_eq!(fleet.ended(), case.ended);
 }
+
+/// A server's data centre at first, the one that its row names later, and where it may run requests.
+struct Place {
+    former: &'static str,
+    data_centre: &'static str,
+    /// Whether requests that are bound to this host's region may run there.
+    near: bool,
+    /// Whether requests that are bound to another region may run there.
+    far: bool,
+}
+
+const PLACE: Place = Place {
+    former: "unlisted",
+    data_centre: "unlisted",
+    near: false,
+    far: false,
+};
+
+/// Guards against requests that run outside their regions at a server whose region is not known.
+#[test_case(PLACE; "a data centre without a known region")]
+#[test_case(Place { former: "a", ..PLACE }; "a row that moves there")]
+#[test_case(Place { data_centre: "a", near: true, ..PLACE }; "a row that moves to this host's data centre")]
+#[test_case(Place { former: "c", data_centre: "b", near: true, ..PLACE }; "a row that moves to this host's region")]
+#[test_case(Place { former: "b", data_centre: "c", far: true, ..PLACE }; "a row that moves to another region")]
+fn bound_requests_run_at_servers_of_their_regions(place: Place) {
+    // The data centre of a host has its region, whether it is listed or not.
+    let regions = [("b", "r"), ("c", "q")].map(|(centre, region)| (centre.into(), region.into()));
+    let location = Location {
+        data_centre: "a".into(),
+        region: "r".into(),
+        regions: regions.into_iter().collect(),
+    };
+    let mut fleet = Fleet::new(Duration::from_millis(500), LIMIT);
+    for data_centre in [place.former, place.data_centre] {
+        let backend = listing("v1", data_centre);
+        fleet.insert(Instant::ZERO, &location, &"i".into(), &backend);
+    }
+    let serves = |allowed_regions: &[Region]| {
+        let query = Query {
+            object: None,
+            route: 0,
+            release: None,
+            allowed_regions,
+            excluded_regions: &[],
+            excluded_servers: &[],
+            objective: Duration::from_millis(500),
+            repeatable: true,
+            bytes: 0.0,
+        };
+        fleet.placement.choose(Instant::ZERO, &query).is_some()
+    };
+    let got = [&[][..], &["r".into()], &["q".into()]].map(serves);
+    assert_eq!(got, [true, place.near, place.far]);
+}
--- a/crates/model/src/host.rs
+++ b/crates/model/src/host.rs
@@ -111,7 +111,7 @@
                 incarnation: u64::from(listing.epoch),
                 release: "v1".into(),
                 data_centre: listing.centre.to_string().as_str().into(),
-                region: region.clone(),
+                region: Some(region.clone()),
                 tier,
                 slots: site.slots,
                 draining: false,
@@ -235,7 +235,7 @@
             return;
         };
         let backend = self.placement.backend(index);
-        let in_region = backend.region == self.region;
+        let in_region = backend.region.as_ref() == Some(&self.region);
         let id = hash64(backend.server.as_str());
         let place = Place::new(id, &self.name, &self.region_hosts, max_senders(limit));
         self.placement
