fix(entry): a workspace with other keys keeps to its homes

Cause: Catalog::renew found the workspace of an admitted request by the keys that it had. One that moved while its keys were replaced or taken away counted as removed, and requests of it that were repeated or waited ran in its former regions (HOME). Change: workspaces are found by their name. Result: an_admitted_request_goes_by_the_later_homes failed before for a workspace that moves with its keys replaced and with none left (sul instead of norte); the other five cases passed before.

--- a/crates/entry/src/version/catalog.rs
+++ b/crates/entry/src/version/catalog.rs
@@ -37,6 +37,7 @@
     pub limits: Limits,
     /// Routes by host name, those with the longest prefix first.
     routes_by_host: Map<String, Vec<Arc<Entry>>>,
+    workspaces: Map<WorkspaceName, Arc<Workspace>>,
     /// Workspaces by key; `None` if requests carry no keys.
     workspaces_by_key: Option<Map<String, Arc<Workspace>>>,
 }
@@ -92,38 +93,40 @@
         for routes in routes_by_host.values_mut() {
             routes.sort_by_key(|entry| std::cmp::Reverse(entry.route.prefix.len()));
         }
-        let workspaces_by_key = config.workspaces.as_ref().map(|contracts| {
-            let workspaces = contracts.iter().flat_map(|(name, contract)| {
-                let workspace = Arc::new(Workspace {
-                    name: name.clone(),
-                    contract: contract.clone(),
-                });
-                let keys = contract.keys.iter();
-                keys.map(move |key| (key.clone(), Arc::clone(&workspace)))
+        let contracts = config.workspaces.iter().flatten();
+        let workspaces = contracts.map(|(name, contract)| {
+            let workspace = Workspace {
+                name: name.clone(),
+                contract: contract.clone(),
+            };
+            (name.clone(), Arc::new(workspace))
+        });
+        let workspaces: Map<_, _> = workspaces.collect();
+        let workspaces_by_key = config.workspaces.as_ref().map(|_| {
+            let keys = workspaces.values().flat_map(|workspace| {
+                let keys = workspace.contract.keys.iter();
+                keys.map(|key| (key.clone(), Arc::clone(workspace)))
             });
-            workspaces.collect()
+            keys.collect()
         });
         Self {
             version: config.version,
             limits: config.limits,
             routes_by_host,
+            workspaces,
             workspaces_by_key,
         }
     }
 
     /// Returns the route and the workspace that a grant of an earlier configuration has in this one.
     ///
-    /// What was removed since, or has lost all keys that it had, stays as it was.
+    /// What was removed since stays as it was.
     pub fn renew(&self, grant: &Grant) -> Grant {
         let routes = self.routes_by_host.get(&grant.entry.route.host);
         let mut routes = routes.into_iter().flatten();
         let entry = routes.find(|entry| entry.name == grant.entry.name);
         let workspace = grant.workspace.as_ref().map(|former| {
-            let workspaces = self.workspaces_by_key.iter();
-            let keys = former.contract.keys.iter();
-            let current = workspaces
-                .flat_map(|workspaces| keys.clone().filter_map(|key| workspaces.get(key)))
-                .find(|workspace| workspace.name == former.name);
+            let current = self.workspaces.get(&former.name);
             Arc::clone(current.unwrap_or(former))
         });
         Grant {
--- a/crates/entry/src/version/catalog/tests.rs
+++ b/crates/entry/src/version/catalog/tests.rs
@@ -24,6 +24,10 @@
 }
 
 fn catalog() -> Catalog {
+    Catalog::new(&config())
+}
+
+fn config() -> Config {
     let routes = [
         ("short", route("/a/", false)),
         ("long", route("/a/b/", false)),
@@ -36,7 +40,7 @@
         burst: 10.0,
         homes: vec!["sul".into(), "centro".into()],
     };
-    Catalog::new(&Config {
+    Config {
         version: 1,
         routes: routes
             .into_iter()
@@ -50,7 +54,7 @@
             idle_time: Duration::from_secs(15),
         },
         workspaces: Some(std::iter::once(("w".into(), contract)).collect()),
-    })
+    }
 }
 
 fn grant_names(
@@ -117,3 +121,45 @@
     let second = (0..100).filter(|_| entry.next_service().as_str() == "t");
     assert_eq!(second.count(), 10);
 }
+
+/// What a later configuration changes, and where a request of the earlier one may run then.
+struct Renewal {
+    change: fn(&mut Config),
+    wanted: Option<&'static [&'static str]>,
+}
+
+fn contract(config: &mut Config) -> &mut Contract {
+    let mut workspaces = config.workspaces.iter_mut().flat_map(Map::values_mut);
+    workspaces.next().expect("a workspace")
+}
+
+fn set_homes(config: &mut Config, homes: &[&str]) {
+    contract(config).homes = homes.iter().map(|it| (*it).into()).collect();
+}
+
+/// Guards against requests that run where their workspace or route no longer allows it.
+#[test_case(Renewal { change: |_| {}, wanted: Some(&["sul"]) }; "nothing")]
+#[test_case(Renewal { change: |it| set_homes(it, &["norte"]), wanted: Some(&["norte"]) }; "the workspace moves")]
+#[test_case(Renewal { change: |it| set_homes(it, &["centro"]), wanted: None }; "no region is left")]
+#[test_case(Renewal { change: |it| {
+    set_homes(it, &["norte"]);
+    contract(it).keys = vec!["k2".to_owned()];
+}, wanted: Some(&["norte"]) }; "the workspace moves and its keys are replaced")]
+#[test_case(Renewal { change: |it| {
+    set_homes(it, &["norte"]);
+    contract(it).keys.clear();
+}, wanted: Some(&["norte"]) }; "the workspace moves and loses its keys")]
+#[test_case(Renewal { change: |it| it.routes.clear(), wanted: Some(&["sul"]) }; "the route is removed")]
+#[test_case(Renewal { change: |it| it.workspaces = None, wanted: Some(&["sul"]) }; "the workspace is removed")]
+fn an_admitted_request_goes_by_the_later_homes(renewal: Renewal) {
+    let mut headers = HeaderMap::new();
+    headers.insert(header::AUTHORIZATION, HeaderValue::from_static("Token k1"));
+    let grant = catalog().grant("a.example", "/a/", &headers, "Token");
+    let mut next = config();
+    next.version = 2;
+    (renewal.change)(&mut next);
+    let renewed = Catalog::new(&next).renew(&grant.expect("allowed"));
+    let wanted = renewal.wanted;
+    let wanted = wanted.map(|it| it.iter().map(|it| (*it).into()).collect());
+    assert_eq!(renewed.allowed_regions(), wanted);
+}
