--- a/crates/entry/src/model/patch/tests.rs
+++ b/crates/entry/src/model/patch/tests.rs
@@ -1,5 +1,6 @@
 use super::Patch;
 use crate::model::{Config, Contract, Kind, Limits, Route, ServiceConfig};
+use azurenotch_wire::Map;
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use std::time::Duration;
 use test_case::test_case;
@@ -11,8 +12,8 @@
     };
     let mut config = Config {
         version,
-        routes: Default::default(),
-        services: Default::default(),
+        routes: Map::default(),
+        services: Map::default(),
         limits: Limits {
             header_bytes: random.random_range(1..3),
             body_bytes: 1000,
