--- a/crates/entry/src/process/entry.rs
+++ b/crates/entry/src/process/entry.rs
@@ -171,7 +171,8 @@
             }
         }
         stop.cancel();
-        info!(state.log(), "entry: stopped");
+        info!(state.log(), "entry: stopped";
+            "ms" => state.now().since(began).as_millis() as u64);
     }
 }
 
