fix(entry): a stop's steps end at fixed times, not each after the one before

Cause: shut_down slept for 78 % of the time, then waited for the rest, then for the last answers, each counted from the end of the step before. A process that stood still across the end of one step got that time added to its stop, and went past the grace period.

Change: each step ends at a time that follows from the start of the stop. If the process runs again only after the time for the last answers, these still get 20 ms.

--- a/crates/entry/src/process/entry.rs
+++ b/crates/entry/src/process/entry.rs
@@ -15,6 +15,7 @@
     },
     setting::Setting,
 };
+use azurenotch_wire::time::Instant;
 use rand::random;
 use slog::{info, warn};
 use snafu::{ResultExt, Snafu};
@@ -40,6 +41,8 @@
 const EXIT_RESERVE: Duration = Duration::from_millis(150);
 /// Part before it in which requests that are given up get their answers.
 const ANSWER_RESERVE: Duration = Duration::from_millis(150);
+/// Time for these answers if the process ran again only after that part.
+const MIN_ANSWER_TIME: Duration = Duration::from_millis(20);
 
 /// Result of starting a host.
 pub type Result<T, E = Error> = std::result::Result<T, E>;
@@ -143,7 +146,8 @@
     /// Stops gracefully within the grace period of the settings.
     ///
     /// The host fails readiness checks and leaves look-ups at once. It accepts connections until
-    /// callers no longer use look-ups that name it.
+    /// callers no longer use look-ups that name it. Each step ends at a time that follows from the
+    /// start of the stop, so that a process that stands still meanwhile does not end later.
     pub async fn shut_down(self) {
         let Self {
             state,
@@ -153,20 +157,21 @@
         } = self;
         info!(state.log(), "entry: stopping");
         let grace = state.setting().bounds.grace;
-        let grace = grace.saturating_sub(EXIT_RESERVE + ANSWER_RESERVE);
-        // `shut_down` consumes the host, so the cell is set only once.
+        let work = grace.saturating_sub(EXIT_RESERVE + ANSWER_RESERVE);
         let began = state.now();
-        let cutoff = began + grace;
+        let (closing, cutoff) = (began + work.mul_f64(ACCEPT_SHARE), began + work);
+        // `shut_down` consumes the host, so the cell is set only once.
         let _ = state.stop.set(Stop { began, cutoff });
-        let open = grace.mul_f64(ACCEPT_SHARE);
-        sleep(open).await;
+        let left = |until: Instant| until.since(state.now());
+        sleep(left(closing)).await;
         stop_callers.cancel();
-        let ended = timeout(grace.saturating_sub(open), &mut callers).await;
+        let ended = timeout(left(cutoff), &mut callers).await;
         if ended.is_err() {
             warn!(state.log(), "entry: grace period over, running requests aborted";
                 "in-flight" => state.metrics.in_flight.get());
             state.cutoff.cancel();
-            if timeout(ANSWER_RESERVE, &mut callers).await.is_err() {
+            let time = left(cutoff + ANSWER_RESERVE).max(MIN_ANSWER_TIME);
+            if timeout(time, &mut callers).await.is_err() {
                 callers.abort();
             }
         }
