fix(entry): the grace period counts from the signal, not from its handling

Cause: shut_down began to count when the process handled the SIGTERM.

Change: the daemon looks for signals every 0.05 s, and the stop counts from the last time at which it knew that there was none (0.05 s to 0.1 s before the signal as a rule). The log is closed within what is left. 'entry: stopping' says how late the signal may have been.

--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -11,6 +11,7 @@
     setting::Setting,
 };
 use azurenotch_platform::clock::Boot;
+use azurenotch_wire::time::Instant;
 use slog::{Level, info, warn};
 use std::{fs, io, path::Path, process::ExitCode, sync::Arc, time::Duration};
 use tokio::{
@@ -20,6 +21,12 @@
 
 /// Time for the last log lines; within what the stop leaves of the grace period for the exit.
 const LOG_CLOSE_TIMEOUT: Duration = Duration::from_millis(100);
+/// The same if the process ran again only shortly before the end of the grace period.
+const MIN_LOG_CLOSE_TIME: Duration = Duration::from_millis(10);
+/// Part of the grace period after them, for the end of the process itself.
+const EXIT_TIME: Duration = Duration::from_millis(50);
+/// Interval between two looks for a signal; a signal seems older by up to twice as much.
+const SIGNAL_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Interval for detecting changes of the settings file that come without a signal.
 const SETTINGS_POLL_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -68,32 +75,53 @@
     path: &Path,
 ) -> Result<(), Box<dyn std::error::Error>> {
     let (journal, log) = Journal::open(Level::Info, setting.host.name.as_str(), io::stdout())?;
+    // Starts before signals are received, so that none is older than the clock.
+    let clock = Arc::new(Boot::new());
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let hang_up = signal(SignalKind::hangup())?;
     let dependencies = Dependencies {
         format: Arc::new(Names::default()),
         store: Arc::new(Table::new(setting.store)),
-        clock: Arc::new(Boot::new()),
+        clock,
         log: log.clone(),
     };
     let entry = Entry::start(setting, dependencies).await?;
+    let asked = tokio::select! {
+        asked = stop_asked(&mut terminate, &mut interrupt, entry.state()) => asked,
+        () = journal.run() => entry.state().now(),
+        () = watch(hang_up, path, text, entry.state()) => entry.state().now(),
+    };
+    let state = Arc::clone(entry.state());
     tokio::select! {
-        () = journal.run() => {}
-        () = watch(hang_up, path, text, entry.state()) => {}
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-    }
-    tokio::select! {
-        () = entry.shut_down() => {}
+        () = entry.shut_down_since(asked) => {}
         () = journal.run() => {}
         // A second interrupt does not wait for running requests.
         _ = interrupt.recv() => {}
     }
-    journal.close(LOG_CLOSE_TIMEOUT);
+    let left = state.stop.get().map(|stop| stop.end.since(state.now()));
+    let left = left.unwrap_or_default().saturating_sub(EXIT_TIME);
+    journal.close(left.clamp(MIN_LOG_CLOSE_TIME, LOG_CLOSE_TIMEOUT));
     Ok(())
 }
 
+/// Waits for a signal to stop; returns a time before which there was none.
+///
+/// A process that was paused, or whose thread was busy, receives a signal later than it was sent.
+async fn stop_asked(terminate: &mut Signal, interrupt: &mut Signal, state: &State) -> Instant {
+    let mut clear = Instant::ZERO;
+    loop {
+        let start = state.now();
+        tokio::select! {
+            biased;
+            _ = terminate.recv() => return clear,
+            _ = interrupt.recv() => return clear,
+            // Signals that came before `start` are received before this ends.
+            () = sleep(SIGNAL_CHECK_INTERVAL) => clear = start,
+        }
+    }
+}
+
 /// Applies the settings whenever the file has changed; SIGHUP makes it read the file at once.
 async fn watch(mut hang_up: Signal, path: &Path, mut last: String, state: &State) {
     loop {
--- a/crates/daemon/tests/binary/log.rs
+++ b/crates/daemon/tests/binary/log.rs
@@ -15,7 +15,7 @@
 /// Guards against a process that ends before its last log lines are written.
 #[tokio::test]
 async fn the_last_lines_of_a_stopped_host_are_written() {
-    let mut hosts: Vec<(Child, PathBuf)> = (0..HOSTS).map(start).collect();
+    let mut hosts: Vec<(Child, PathBuf)> = (0..HOSTS).map(|number| start(number, 1)).collect();
     for (host, log) in &mut hosts {
         wait_until("the host has started", async || {
             text(log).contains("entry: started").then_some(())
@@ -36,7 +36,7 @@
 }
 
 /// Starts an entry host whose store is out of reach; returns it and its log.
-fn start(number: usize) -> (Child, PathBuf) {
+pub fn start(number: usize, grace_s: u32) -> (Child, PathBuf) {
     let ip = format!("127.0.2.{}", number + 1);
     let free = TcpListener::bind((ip.as_str(), 0)).expect("a port is free");
     let peer_port = free.local_addr().expect("it is bound").port();
@@ -45,7 +45,7 @@
         "[host]\nname = h{number}\ndata-centre = z\nregion = r\ncallers = {ip}:0\nready = {ip}:0\n\
          look-ups = {ip}:0\npeer-port = {peer_port}\n[data-centre z]\nregion = r\n[store]\n\
          address = 127.0.0.1:1\n[machine]\nmemory-mb = 260\ndescriptors = 512\n\
-         [bounds]\ngrace-s = 1\n"
+         [bounds]\ngrace-s = {grace_s}\n"
     );
     let settings = write_settings(&format!("log-{number}"), &text);
     let path = settings.with_extension("log");
@@ -58,6 +58,6 @@
     (child, path)
 }
 
-fn text(log: &Path) -> String {
+pub fn text(log: &Path) -> String {
     fs::read_to_string(log).expect("it was created")
 }
--- a/crates/daemon/tests/binary/main.rs
+++ b/crates/daemon/tests/binary/main.rs
@@ -1,6 +1,7 @@
 //! The daemon as a process: settings, start, invalid requests of callers, and stop.
 
 mod log;
+mod pause;
 mod process;
 mod reload;
 
--- a/crates/entry/src/process/entry.rs
+++ b/crates/entry/src/process/entry.rs
@@ -146,22 +146,34 @@
     /// Stops gracefully within the grace period of the settings.
     ///
     /// The host fails readiness checks and leaves look-ups at once. It accepts connections until
-    /// callers no longer use look-ups that name it. Each step ends at a time that follows from the
-    /// start of the stop, so that a process that stands still meanwhile does not end later.
+    /// callers no longer use look-ups that name it.
     pub async fn shut_down(self) {
+        let asked = self.state.now();
+        self.shut_down_since(asked).await;
+    }
+
+    /// Does the same in a grace period that began at `asked`, which may be some time ago.
+    ///
+    /// Each step ends at a time that follows from `asked`, so that a process that stands still
+    /// meanwhile does not end later.
+    pub async fn shut_down_since(self, asked: Instant) {
         let Self {
             state,
             mut callers,
             stop_callers,
             stop,
         } = self;
-        info!(state.log(), "entry: stopping");
+        info!(state.log(), "entry: stopping";
+            "late-ms-at-most" => state.now().since(asked).as_millis() as u64);
         let grace = state.setting().bounds.grace;
         let work = grace.saturating_sub(EXIT_RESERVE + ANSWER_RESERVE);
-        let began = state.now();
-        let (closing, cutoff) = (began + work.mul_f64(ACCEPT_SHARE), began + work);
+        let (closing, cutoff) = (asked + work.mul_f64(ACCEPT_SHARE), asked + work);
         // `shut_down` consumes the host, so the cell is set only once.
-        let _ = state.stop.set(Stop { began, cutoff });
+        let _ = state.stop.set(Stop {
+            began: asked,
+            cutoff,
+            end: asked + grace,
+        });
         let left = |until: Instant| until.since(state.now());
         sleep(left(closing)).await;
         stop_callers.cancel();
@@ -177,7 +189,7 @@
         }
         stop.cancel();
         info!(state.log(), "entry: stopped";
-            "ms" => state.now().since(began).as_millis() as u64);
+            "ms" => state.now().since(asked).as_millis() as u64);
     }
 }
 
--- a/crates/entry/src/process/state.rs
+++ b/crates/entry/src/process/state.rs
@@ -113,10 +113,12 @@
 /// Planned stop of a host.
 #[derive(Debug, Clone, Copy)]
 pub struct Stop {
-    /// When look-ups left the host out.
+    /// When it was asked for at the earliest; look-ups leave the host out from its start on.
     pub began: Instant,
     /// When running requests are given up.
     pub cutoff: Instant,
+    /// When the platform ends the process.
+    pub end: Instant,
 }
 
 /// State that the requests and the control tasks of one host share.
