fix(daemon): a host's last log lines get all the time that is left

Cause: the stop gave the thread that writes the log 0.1 s, although a host whose requests have ended mostly has tenths of a second more.

Change: the log is closed within what is left of the grace period, less 0.05 s for the exit; after a second interrupt within 0.1 s as before.

--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -19,11 +19,11 @@
     time::sleep,
 };
 
-/// Time for the last log lines; within what the stop leaves of the grace period for the exit.
+/// Time for the last log lines after a second interrupt.
 const LOG_CLOSE_TIMEOUT: Duration = Duration::from_millis(100);
-/// The same if the process ran again only shortly before the end of the grace period.
+/// Shortest time for them, if the process ran again only shortly before the end of the grace period.
 const MIN_LOG_CLOSE_TIME: Duration = Duration::from_millis(10);
-/// Part of the grace period after them, for the end of the process itself.
+/// Part of the grace period after the last log lines, for the end of the process itself.
 const EXIT_TIME: Duration = Duration::from_millis(50);
 /// Interval between two looks for a signal; a signal seems older by up to twice as much.
 const SIGNAL_CHECK_INTERVAL: Duration = Duration::from_millis(50);
@@ -93,15 +93,16 @@
         () = watch(hang_up, path, text, entry.state()) => entry.state().now(),
     };
     let state = Arc::clone(entry.state());
-    tokio::select! {
-        () = entry.shut_down_since(asked) => {}
-        () = journal.run() => {}
+    let log_time = tokio::select! {
+        () = entry.shut_down_since(asked) => {
+            let left = state.stop.get().map(|stop| stop.end.since(state.now()));
+            left.unwrap_or_default().saturating_sub(EXIT_TIME)
+        }
+        () = journal.run() => LOG_CLOSE_TIMEOUT,
         // A second interrupt does not wait for running requests.
-        _ = interrupt.recv() => {}
-    }
-    let left = state.stop.get().map(|stop| stop.end.since(state.now()));
-    let left = left.unwrap_or_default().saturating_sub(EXIT_TIME);
-    journal.close(left.clamp(MIN_LOG_CLOSE_TIME, LOG_CLOSE_TIMEOUT));
+        _ = interrupt.recv() => LOG_CLOSE_TIMEOUT,
+    };
+    journal.close(log_time.max(MIN_LOG_CLOSE_TIME));
     Ok(())
 }
 
