--- a/crates/entry/src/process/entry.rs
+++ b/crates/entry/src/process/entry.rs
@@ -15,6 +15,7 @@
     },
     setting::Setting,
 };
+use azurenotch_wire::time::Instant;
 use rand::random;
 use slog::{info, warn};
 use snafu::{ResultExt, Snafu};
@@ -40,6 +41,8 @@
 const EXIT_RESERVE: Duration = Duration::from_millis(150);
 /// Part before it in which requests that are given up get their answers.
 const ANSWER_RESERVE: Duration = Duration::from_millis(150);
+/// Time for these answers if the process ran again only after that part.
+const MIN_ANSWER_TIME: Duration = Duration::from_millis(20);
 
 /// Result of starting a host.
 pub type Result<T, E = Error> = std::result::Result<T, E>;
@@ -145,33 +148,48 @@
     /// The host fails readiness checks and leaves look-ups at once. It accepts connections until
     /// callers no longer use look-ups that name it.
     pub async fn shut_down(self) {
+        let asked = self.state.now();
+        self.shut_down_since(asked).await;
+    }
+
+    /// Does the same in a grace period that began at `asked`, which may be some time ago.
+    ///
+    /// Each step ends at a time that follows from `asked`, so that a process that stands still
+    /// meanwhile does not end later.
+    pub async fn shut_down_since(self, asked: Instant) {
         let Self {
             state,
             mut callers,
             stop_callers,
             stop,
         } = self;
-        info!(state.log(), "entry: stopping");
+        info!(state.log(), "entry: stopping";
+            "late-ms-at-most" => state.now().since(asked).as_millis() as u64);
         let grace = state.setting().bounds.grace;
-        let grace = grace.saturating_sub(EXIT_RESERVE + ANSWER_RESERVE);
+        let work = grace.saturating_sub(EXIT_RESERVE + ANSWER_RESERVE);
+        let (closing, cutoff) = (asked + work.mul_f64(ACCEPT_SHARE), asked + work);
         // `shut_down` consumes the host, so the cell is set only once.
-        let began = state.now();
-        let cutoff = began + grace;
-        let _ = state.stop.set(Stop { began, cutoff });
-        let open = grace.mul_f64(ACCEPT_SHARE);
-        sleep(open).await;
+        let _ = state.stop.set(Stop {
+            began: asked,
+            cutoff,
+            end: asked + grace,
+        });
+        let left = |until: Instant| until.since(state.now());
+        sleep(left(closing)).await;
         stop_callers.cancel();
-        let ended = timeout(grace.saturating_sub(open), &mut callers).await;
+        let ended = timeout(left(cutoff), &mut callers).await;
         if ended.is_err() {
             warn!(state.log(), "entry: grace period over, running requests aborted";
                 "in-flight" => state.metrics.in_flight.get());
             state.cutoff.cancel();
-            if timeout(ANSWER_RESERVE, &mut callers).await.is_err() {
+            let time = left(cutoff + ANSWER_RESERVE).max(MIN_ANSWER_TIME);
+            if timeout(time, &mut callers).await.is_err() {
                 callers.abort();
             }
         }
         stop.cancel();
-        info!(state.log(), "entry: stopped");
+        info!(state.log(), "entry: stopped";
+            "ms" => state.now().since(asked).as_millis() as u64);
     }
 }
 
