fix(entry): an answer's line has the regions of its last placement

Cause: found by the review: the line of an answer had the regions of the request's arrival, which a later configuration may have changed before a repeat, so that the log would mislead in the very case it was added for. Change: they are those of the last choice of a server; without one, those of the arrival. Nothing else is changed; no test reads the log of a host in the process of a test.

--- a/crates/entry/src/request/forward.rs
+++ b/crates/entry/src/request/forward.rs
@@ -64,6 +64,8 @@
     pub(crate) data_centre: DataCentre,
     /// Address to which the request was sent.
     pub(crate) address: Option<SocketAddr>,
+    /// Regions in which the request could run when it was chosen; empty for all.
+    pub(crate) allowed_regions: Vec<Region>,
     /// Region preferred without the limit on how fast requests move between regions.
     pub(crate) preferred_region: Option<Region>,
     pub(crate) estimate: Estimate,
@@ -386,6 +388,7 @@
             region: backend.region.clone(),
             data_centre: backend.data_centre.clone(),
             address: fleet.pool(choice.index).map(|pool| pool.address()),
+            allowed_regions: attempts.allowed_regions.clone(),
             preferred_region: fleet.placement.backend(preferred).region.clone(),
             estimate,
             hit_probability: choice.hit_probability,
--- a/crates/entry/src/request/handler.rs
+++ b/crates/entry/src/request/handler.rs
@@ -299,7 +299,8 @@
             "region" => candidate.and_then(|it| it.region.as_ref()).map(Region::as_str),
             "data-centre" => candidate.map(|candidate| candidate.data_centre.as_str()),
             "address" => candidate.and_then(|it| it.address).map(|it| it.to_string()),
-            "allowed-regions" => forward::regions(&self.allowed_regions),
+            "allowed-regions" => forward::regions(
+                candidate.map_or(&self.allowed_regions, |it| &it.allowed_regions)),
             "preferred-region" => candidate.and_then(|it| it.preferred_region.as_ref()).map(Region::as_str),
             "expected-ms" => estimate.map(|estimate| ms(estimate.expected)),
             "wait-ms" => estimate.map(|estimate| ms(estimate.wait)),
