refactor(entry): the size of received changes is computed once

Cause: found in the last read of the change: since patches, a configuration that changed a lot was serialized in each round of messages for three seconds, only to find that its patch does not fit; before, a whole configuration was passed over at once. Rows were sized anew each round as well. Change: the largest fact of an update is sized when the update is received. Beside it: the line of a failed send takes the region from the target that it has at hand; a comment is wrapped; a test's name says what its bytes are.

--- a/crates/core/src/process/senders.rs
+++ b/crates/core/src/process/senders.rs
@@ -82,7 +82,8 @@
 /// Returns the hosts among which the senders of a server in `region` are chosen.
 ///
 /// These are the hosts of the region and of regions that have no server of the same service;
-/// `served` names those that have one. A region that is not known has all hosts. All hosts are candidates if none of these is known.
+/// `served` names those that have one. All hosts are candidates if none of these is known, or if the
+/// region is not.
 pub fn candidates(
     hosts: &[(Region, Host)],
     region: Option<&Region>,
--- a/crates/entry/src/process/relay/tests.rs
+++ b/crates/entry/src/process/relay/tests.rs
@@ -93,10 +93,10 @@
     );
 }
 
-/// Guards against an answer of another host that uses up the memory, or ends the process.
+/// Guards against an answer of another host that ends the process.
 #[test]
 fn bytes_that_are_no_answer_are_an_error() {
-    let endless = {
+    let broken_off = {
         let answer = Answer {
             updates: [Update::none(1), Update::none(1), Update::none(1)],
         };
@@ -105,7 +105,7 @@
         bytes
     };
     for bytes in [
-        &endless[..],
+        &broken_off[..],
         b"",
         b"\xff\xff\xff\xff",
         b"not compressed at all",
--- a/crates/entry/src/process/replica/update.rs
+++ b/crates/entry/src/process/replica/update.rs
@@ -19,6 +19,8 @@
     at: Instant,
     subject: Subject,
     update: Update,
+    /// Size of the largest fact in a message, in bytes; `None` if messages do not contain one of them.
+    largest: Option<usize>,
 }
 
 /// All changes of a subject between two versions of the store.
@@ -62,10 +64,13 @@
 
     fn keep_received(&mut self, now: Instant, subject: Subject, update: &Update) {
         let update = self.patched(update);
+        let mut facts = update.facts.iter();
+        let largest = facts.try_fold(0, |largest, fact| Some(size(fact)?.max(largest)));
         self.received.push_back(Received {
             at: now,
             subject,
             update,
+            largest,
         });
         while let Some(oldest) = self.received.front()
             && now.since(oldest.at) > UPDATE_RETENTION
@@ -147,9 +152,9 @@
     pub fn recent_updates(&self, now: Instant, subject: Subject, bytes: usize) -> Vec<Update> {
         let version = self.freshness(subject).version;
         let recent = self.received.iter().filter(|it| {
-            let fits = |fact| size(fact).is_some_and(|size| size <= bytes);
+            let fits = it.largest.is_some_and(|largest| largest <= bytes);
             let is_recent = now.since(it.at) <= UPDATE_RETENTION;
-            it.subject == subject && is_recent && it.update.facts.iter().all(fits)
+            it.subject == subject && is_recent && fits
         });
         let recent: Vec<&Update> = recent.map(|it| &it.update).collect();
         let mut after = version;
--- a/crates/entry/src/request/forward.rs
+++ b/crates/entry/src/request/forward.rs
@@ -278,7 +278,7 @@
                 "version" => %target.release, "ending" => label, "send" => sends,
                 "expected-ms" => target.choice.expected.as_millis() as u64,
                 "address" => %target.pool.address(),
-                "region" => attempts.candidate.as_ref().and_then(|it| it.region.as_ref()).map(Region::as_str),
+                "region" => target.region.as_ref().map(Region::as_str),
                 "allowed-regions" => regions(&attempts.allowed_regions),
                 "cause" => cause(ending.as_ref()));
         }
