fix(core): the surplus of a region leaves it from the start of traffic on

The share that leaves a region with few servers was known half a second late: hosts of the region counted as having no requests by reports sent before traffic began, and the rate of the first 0.3 s was divided by 0.3 s. Change: a report of no requests within 0.7 s of a host's first request is ignored, and a rate is known after 0.12 s.

--- a/crates/core/src/version/spill.rs
+++ b/crates/core/src/version/spill.rs
@@ -12,11 +12,15 @@
 /// Time constant of the exponential average of the request rate, in seconds.
 const RATE_TIME_CONSTANT_S: f64 = 1.5;
 /// Shortest time over which the first rate is computed, in seconds.
-const MIN_RATE_TIME_S: f64 = 0.3;
+const MIN_RATE_TIME_S: f64 = 0.12;
 /// Utilization of a region's slots above which requests leave; 1 means all slots are in use.
 const SPILL_UTILIZATION: f64 = 0.9;
 /// Largest share of requests that leave the region.
 const MAX_SPILL_SHARE: f64 = 0.9;
+/// Time after the first request within which a report of no requests is ignored.
+///
+/// It may have been sent before traffic began. A round of messages takes up to 0.65 s.
+const START_TIME: Duration = Duration::from_millis(700);
 /// Age from which the rate reported by another host is ignored.
 const REPORTED_RATE_MAX_AGE: Duration = Duration::from_secs(2);
 
@@ -66,7 +70,9 @@
     /// without a recent report are assumed to have the rate of this one.
     pub fn share(&self, now: Instant, work_s: f64, slots: f64, hosts: usize) -> f64 {
         let others = self.reported_rates.values();
-        let others = others.filter(|(at, _)| now.since(*at) < REPORTED_RATE_MAX_AGE);
+        let others = others.filter(|(at, rate)| {
+            now.since(*at) < REPORTED_RATE_MAX_AGE && !self.is_from_before_start(*at, *rate)
+        });
         let (reporting_hosts, reported_rate) =
             others.fold((0, 0.0), |(reporting_hosts, reported_rate), (_, rate)| {
                 (reporting_hosts + 1, reported_rate + rate)
@@ -77,6 +83,12 @@
         (1.0 - SPILL_UTILIZATION / utilization.max(SPILL_UTILIZATION)).min(MAX_SPILL_SHARE)
     }
 
+    /// Returns whether a host may have reported a rate of zero only because traffic had not begun.
+    fn is_from_before_start(&self, reported: Instant, rate: f64) -> bool {
+        let started = self.started.unwrap_or(reported);
+        rate <= 0.0 && reported < started + START_TIME
+    }
+
     fn decayed_requests(&self, now: Instant) -> f64 {
         let elapsed = now.since(self.updated).as_secs_f64();
         self.weighted_requests * (-elapsed / RATE_TIME_CONSTANT_S).exp()
--- a/crates/core/src/version/spill/tests.rs
+++ b/crates/core/src/version/spill/tests.rs
@@ -56,16 +56,48 @@
     assert!(alone < 1e-9 && four > 0.3, "{alone} {four}");
 }
 
+/// Requests of a host at a constant rate, from its first one on.
+struct Start {
+    per_s: f64,
+    /// Time since the first request.
+    elapsed: Duration,
+}
+
 /// Guards against a rate that is too low after a start: all requests then stay in the region
 /// until its queues are long.
+#[test_case(Start { per_s: 30.0, elapsed: Duration::from_millis(500) }; "few requests")]
+#[test_case(Start { per_s: 65.0, elapsed: Duration::from_millis(150) }; "a seventh of a second")]
+fn the_rate_is_known_after_a_few_requests(start: Start) {
+    let mut spill = Spill::default();
+    let count = (start.per_s * start.elapsed.as_secs_f64()) as u32;
+    for step in 0..count {
+        spill.count(Instant::ZERO + Duration::from_secs_f64(f64::from(step) / start.per_s));
+    }
+    let ratio = spill.rate(Instant::ZERO + start.elapsed) / start.per_s;
+    assert!((0.8..1.2).contains(&ratio), "{ratio}");
+}
+
+/// Guards against a surplus that stays in the region at the start of all traffic, since the last
+/// reports of the other hosts are from before it, and then leaves all at once.
 #[test]
-fn the_share_is_known_after_a_few_requests() {
+fn idle_reports_from_before_the_start_do_not_keep_the_surplus() {
+    let others: Vec<Host> = (1..10).map(|host| format!("h{host}").into()).collect();
     let mut spill = Spill::default();
-    for step in 0..15 {
-        spill.count(Instant::from_millis(step * 33));
+    let start = Instant::from_millis(10_000);
+    for host in &others {
+        spill.receive_rate(start - Duration::from_millis(50), host, 0.0);
+    }
+    for step in 0..8 {
+        spill.count(start + Duration::from_millis(step * 25));
+    }
+    let now = start + Duration::from_millis(200);
+    let share = spill.share(now, 1.0, 168.0, 10);
+    assert!(share > 0.3, "{share}");
+    for host in &others {
+        spill.receive_rate(start + START_TIME, host, 0.0);
     }
-    let rate = spill.rate(Instant::from_millis(500));
-    assert!((25.0..36.0).contains(&rate), "{rate}");
+    let idle = spill.share(start + START_TIME, 1.0, 168.0, 10);
+    assert!(idle < 1e-9, "{idle}");
 }
 
 #[test]
