fix: a status that HTTP does not define is no answer

Cause: a server in trouble may send any status. The HTTP library fails for 000, 099, 199 and malformed status lines, but takes 600 to 999, and 101 without a requested upgrade, for answers: entry passed them on with their body, kept the connection, and the platform clients took 600 from the store as a refusal that changed nothing. Change: an answer ends a request only with 200 to 599. Otherwise the caller gets 502, the request may have run, the connection is not used again and the server counts as failing; calls to the store count as lost. The daemon already rejected 101. Other statuses end as before.

--- a/crates/daemon/src/request/attempt.rs
+++ b/crates/daemon/src/request/attempt.rs
@@ -10,6 +10,7 @@
     version::current::ServerSlot,
 };
 use azurenotch_core::{request::deadline::ANSWER_ALLOWANCE, version::balance::Verdict};
+use azurenotch_platform::http::status;
 use azurenotch_wire::{
     refusal::{self, Reason, Refusal},
     time::Instant,
@@ -348,7 +349,8 @@
     }
 }
 
-/// Returns whether an answer belongs to the request and its body has a recognizable end.
+/// Returns whether an answer has a status of HTTP, belongs to the request, and its body has a
+/// recognizable end.
 fn is_valid_answer(response: &Response<Incoming>, id: &str) -> bool {
     let echo = response.headers().get(refusal::REQUEST);
     let body = response.body();
@@ -359,7 +361,7 @@
             .contains_key(http::header::TRANSFER_ENCODING);
     echo.is_some_and(|echo| echo.as_bytes() == id.as_bytes())
         && framed
-        && response.status() != StatusCode::SWITCHING_PROTOCOLS
+        && status::is_final(response.status())
 }
 
 /// Returns whether a backend server shed the request because of its load.
--- a/crates/daemon/tests/attempts.rs
+++ b/crates/daemon/tests/attempts.rs
@@ -17,6 +17,10 @@
     b"HTTP/1.1 200 OK\r\nazurenotch-request: n1-7-ffff\r\ncontent-length: 5\r\n\r\nother";
 const NO_ID_RESPONSE: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nother";
 const NO_LENGTH_RESPONSE: &[u8] = b"HTTP/1.1 200 OK\r\nazurenotch-request: {id}\r\n\r\npart";
+const UNDEFINED_STATUS_RESPONSE: &[u8] =
+    b"HTTP/1.1 600 High\r\nazurenotch-request: {id}\r\ncontent-length: 5\r\n\r\nother";
+const ZERO_STATUS_RESPONSE: &[u8] =
+    b"HTTP/1.1 000 None\r\nazurenotch-request: {id}\r\ncontent-length: 5\r\n\r\nother";
 const NOT_HTTP_RESPONSE: &[u8] = b"hello\r\n\r\n";
 
 fn ok_reply() -> Reply {
@@ -28,7 +32,7 @@
     reason: &'static str,
 }
 
-fn faulty_replies() -> [Case; 5] {
+fn faulty_replies() -> [Case; 7] {
     let case = |reply, reason| Case { reply, reason };
     [
         case(Reply::Reset, "lost-server"),
@@ -36,6 +40,11 @@
         case(Reply::Raw(WRONG_ID_RESPONSE.to_vec()), "broken-answer"),
         case(Reply::Raw(NO_ID_RESPONSE.to_vec()), "broken-answer"),
         case(Reply::Raw(NO_LENGTH_RESPONSE.to_vec()), "broken-answer"),
+        case(
+            Reply::Raw(UNDEFINED_STATUS_RESPONSE.to_vec()),
+            "broken-answer",
+        ),
+        case(Reply::Raw(ZERO_STATUS_RESPONSE.to_vec()), "lost-server"),
     ]
 }
 
--- a/crates/entry/src/request/attempt.rs
+++ b/crates/entry/src/request/attempt.rs
@@ -18,6 +18,7 @@
     },
     version::placement::{Choice, Load, Verdict},
 };
+use azurenotch_platform::http::status;
 use azurenotch_wire::{
     id::{Region, Release, Server, Service},
     time::Instant,
@@ -343,6 +344,9 @@
             });
         }
     };
+    if !status::is_final(response.status()) {
+        return Exchanged::Broken("no-status");
+    }
     observe_leaving(state, target, &response);
     let request_id = job.headers.get(&protocol.request_id);
     let echoed_id = response.headers().get(&protocol.request_id);
--- a/crates/platform/src/http/link.rs
+++ b/crates/platform/src/http/link.rs
@@ -1,6 +1,6 @@
 //! One connection to the platform.
 
-use super::interim;
+use super::{interim, status};
 use bytes::Bytes;
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full, Limited};
@@ -70,6 +70,10 @@
         let mut answer = pin!(async move {
             let answer = sender.send_request(request).await.context(ExchangeSnafu)?;
             let (head, body) = answer.into_parts();
+            if !status::is_final(head.status) {
+                let status = head.status.as_u16();
+                return StatusSnafu { status }.fail();
+            }
             let body = Limited::new(body, limit)
                 .collect()
                 .await
@@ -124,6 +128,8 @@
     Body {
         source: Box<dyn std::error::Error + Send + Sync>,
     },
+    #[snafu(display("the platform answered with {status}, which is no status of HTTP"))]
+    Status { status: u16 },
 }
 
 /// Stream that counts the bytes written to it.
--- a/crates/platform/src/http/mod.rs
+++ b/crates/platform/src/http/mod.rs
@@ -20,6 +20,7 @@
 mod link;
 mod pool;
 mod roster;
+pub mod status;
 mod store;
 mod table;
 
--- a/crates/platform/tests/http.rs
+++ b/crates/platform/tests/http.rs
@@ -352,6 +352,8 @@
     Class::Unavailable, Class::Ambiguous; "failure after the write")]
 #[test_case("HTTP/1.1 503 x\r\ncontent-length: 17\r\n\r\n{\"written\":false}",
     Class::Unavailable, Class::Ambiguous; "report over the limit")]
+#[test_case("HTTP/1.1 600 x\r\ncontent-length: 0\r\n\r\n",
+    Class::Unavailable, Class::Ambiguous; "a status that HTTP does not define")]
 #[test_case("HTTP/1.1 400 x\r\ncontent-length: 0\r\n\r\n",
     Class::Protocol, Class::Protocol; "bad request")]
 #[test_case("HTTP/1.1 412 x\r\ncontent-length: 0\r\n\r\n",
