feat(entry): settings, row and calls of usage reports

Cause: part U of docs/design/uneven-load.md asks for reports of the requests that servers began to run, which one host at a time writes into the store and sends to the platform's accounts. Change: the section [usage] of the settings, rendered once for each duty that the platform names; Store::{read_usage, write_usage} and the trait Accounts with their clients in the adapter. A call to the accounts asks for the right to send once its connection is open, and a failed one leaves no unsent bytes behind. Clock::steady is the clock that stands still while the machine is suspended. No host counts or reports yet. Nothing is measured.

--- a/crates/entry/src/platform.rs
+++ b/crates/entry/src/platform.rs
@@ -13,6 +13,8 @@
 use snafu::Snafu;
 use std::{fmt::Debug, net::SocketAddr, time::Duration};
 
+pub mod usage;
+
 /// Result of a call to the platform.
 pub type Result<T, E = Error> = std::result::Result<T, E>;
 
@@ -38,6 +40,9 @@
     /// The store has come back from an older copy; the subject has to be read in full.
     #[snafu(display("the store has come back from an older copy"))]
     Restored,
+    /// The right to make the call ended before a connection was open; nothing was sent.
+    #[snafu(display("the right to send has expired"))]
+    Expired,
     /// A row does not have the version that the write requires.
     #[snafu(display("another host changed the row"))]
     Conflict,
@@ -146,6 +151,18 @@
         order_version: u64,
         state_version: u64,
     ) -> Result<u64>;
+
+    /// Reads the row of the usage reports.
+    async fn read_usage(&self) -> Result<usage::Stored>;
+
+    /// Writes the row of the usage reports; returns its new version and the store's clock.
+    ///
+    /// The write succeeds only if the row has this version, as [`Store::read_usage`] returned it.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`Error::Conflict`] if the version differs, in its number or in its era.
+    async fn write_usage(&self, row: &usage::Row, version: u64) -> Result<(u64, Duration)>;
 }
 
 /// Protocol and body formats of the platform.
--- a/crates/entry/src/setting.rs
+++ b/crates/entry/src/setting.rs
@@ -17,6 +17,10 @@
 /// Upper bound of every duration in the settings, in seconds.
 const MAX_DURATION_S: f64 = 3600.0;
 
+mod usage;
+
+pub use usage::Usage;
+
 /// Settings of an entry host.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Setting {
@@ -30,6 +34,8 @@
     pub machine: Machine,
     /// Time limits and other bounds that the operator sets.
     pub bounds: Bounds,
+    /// Usage reports; `None` if the hosts send none.
+    pub usage: Option<Usage>,
 }
 
 /// Section `[host]`: identity and listeners.
@@ -150,6 +156,7 @@
                 "descriptors",
                 self.machine.descriptors != next.machine.descriptors,
             ),
+            ("usage", self.usage != next.usage),
         ];
         let waiting = changes.into_iter().filter(|(_, changed)| *changed);
         let waiting = waiting.map(|(name, _)| name).collect();
@@ -164,6 +171,7 @@
         let next = Self {
             host,
             machine,
+            usage: self.usage,
             ..next
         };
         (next, waiting)
@@ -180,6 +188,7 @@
         let mut store = None;
         let mut machine = None;
         let mut bounds = None;
+        let mut usage = None;
         let mut data_centres = Map::default();
         for mut section in ini::parse(text, &mut errors) {
             match section.kind {
@@ -187,6 +196,8 @@
                 "store" => store = section.required("address", &mut errors),
                 "machine" => machine = read_machine(&mut section, &mut errors),
                 "bounds" => bounds = read_bounds(&mut section, &mut errors),
+                "usage" if usage::is_other_duty(section.name) => continue,
+                "usage" => usage = usage::read(&mut section, &mut errors),
                 "data-centre" => {
                     let name = section.typed_name::<DataCentre>(&mut errors);
                     let region = section.required::<Region>("region", &mut errors);
@@ -217,6 +228,7 @@
                 store,
                 machine,
                 bounds,
+                usage,
             }),
             _ => Err(errors.into_invalid()),
         }
--- a/crates/entry/src/setting/tests.rs
+++ b/crates/entry/src/setting/tests.rs
@@ -1,6 +1,6 @@
 //! Parsing of settings, and changes of them without a restart.
 
-use super::Setting;
+use super::{Setting, Usage};
 use std::time::Duration;
 use test_case::test_case;
 
@@ -42,6 +42,35 @@
     assert_eq!(setting.bounds.withdrawal, Duration::from_secs(5));
 }
 
+/// Section of the usage reports.
+const USAGE: &str = "address = 127.0.0.1:8386\nwindow-s = 5\nlate-s = 10\nlease-s = 3\n";
+
+#[test_case(&[], false; "no duty")]
+#[test_case(&["usage"], true; "without a name")]
+#[test_case(&["usage usage_report"], true; "the only duty")]
+#[test_case(&["usage other", "usage usage_report", "usage third"], true; "one of several duties")]
+#[test_case(&["usage other"], false; "another duty")]
+fn usage_is_reported_only_with_its_section(headers: &[&str], expected: bool) {
+    let sections = headers.iter().map(|it| format!("[{it}]\n{USAGE}"));
+    let text = TEXT.to_owned() + &sections.collect::<String>();
+    let usage = Setting::parse(&text).expect("valid settings").usage;
+    let expected = expected.then(|| Usage {
+        address: "127.0.0.1:8386".parse().expect("valid address"),
+        window: Duration::from_secs(5),
+        late: Duration::from_secs(10),
+        lease: Duration::from_secs(3),
+    });
+    assert_eq!(usage, expected);
+}
+
+#[test_case("address = 127.0.0.1:8386\n", ""; "no address")]
+#[test_case("window-s = 5", "window-s = 0"; "no window")]
+#[test_case("late-s = 10", "late-s = soon"; "not a number")]
+fn wrong_settings_of_usage_are_refused(right: &str, wrong: &str) {
+    let section = format!("[usage usage_report]\n{USAGE}").replace(right, wrong);
+    assert!(Setting::parse(&(TEXT.to_owned() + &section)).is_err());
+}
+
 #[test_case("region = sul", "regime = sul"; "unknown field")]
 #[test_case("drain-s = 2.5", "drain-s = soon"; "not a number")]
 #[test_case("[store]\naddress = 127.0.0.1:8382\n", ""; "no store")]
@@ -75,6 +104,7 @@
 #[test_case(Change { from: "[data-centre faro-a]", to: "[data-centre faro-b]", waiting: &[] }; "data centres")]
 #[test_case(Change { from: "callers = 127.0.0.1:8389", to: "callers = 127.0.0.1:9389", waiting: &["callers"] }; "port")]
 #[test_case(Change { from: "descriptors = 4100", to: "descriptors = 900", waiting: &["descriptors"] }; "descriptors")]
+#[test_case(Change { from: "[machine]", to: "[usage]\naddress = 127.0.0.1:9\n[machine]", waiting: &["usage"] }; "usage")]
 #[test_case(Change { from: "name = edge-porto-a-1", to: "name = edge-2", waiting: &["name"] }; "name")]
 fn changes_without_a_restart(change: Change) {
     let former = Setting::parse(TEXT).expect("valid settings");
--- a/crates/platform/src/clock.rs
+++ b/crates/platform/src/clock.rs
@@ -12,6 +12,14 @@
     /// Returns the current instant, relative to the start of the clock.
     fn now(&self) -> Instant;
 
+    /// Returns the time of a clock that stands still while the machine is suspended.
+    ///
+    /// Its start is unrelated to that of [`Clock::now`]. A right that ends by either clock ends in
+    /// time also if one of them is wrong.
+    fn steady(&self) -> Instant {
+        self.now()
+    }
+
     /// Returns the milliseconds since the Unix epoch, for event stamps and the age of moves.
     fn wall_ms(&self) -> u64 {
         let elapsed = SystemTime::now()
@@ -61,7 +69,9 @@
 impl Boot {
     /// Creates a clock that starts now.
     pub fn new() -> Self {
-        Self { start: nanos() }
+        Self {
+            start: nanos(ClockId::Boottime),
+        }
     }
 }
 
@@ -73,12 +83,16 @@
 
 impl Clock for Boot {
     fn now(&self) -> Instant {
-        Instant::from_nanos(nanos().saturating_sub(self.start))
+        Instant::from_nanos(nanos(ClockId::Boottime).saturating_sub(self.start))
+    }
+
+    fn steady(&self) -> Instant {
+        Instant::from_nanos(nanos(ClockId::Monotonic))
     }
 }
 
-fn nanos() -> u64 {
-    let time = clock_gettime(ClockId::Boottime);
+fn nanos(clock: ClockId) -> u64 {
+    let time = clock_gettime(clock);
     let seconds = u64::try_from(time.tv_sec).unwrap_or_default();
     let nanos = u64::try_from(time.tv_nsec).unwrap_or_default();
     seconds * 1_000_000_000 + nanos
