feat(core): types of usage reports, counts, collectors and true time

Cause: part U of docs/design/uneven-load.md asks for reports of the requests that servers began to run, for each workspace and window of true time. Change: process::wall has true time by the median of offsets. process::usage has the counts of a host (Tally), of all hosts (Ledger), the choice of collectors, the claims, the row, and whether and when a send ran. Nothing uses the modules yet. Nothing is measured.

--- a/crates/core/src/process/mod.rs
+++ b/crates/core/src/process/mod.rs
@@ -20,4 +20,6 @@
 pub mod spread;
 pub mod suspect;
 pub mod timeline;
+pub mod usage;
+pub mod wall;
 pub mod warmup;
--- /dev/null
+++ b/crates/core/src/process/usage/claims.rs
@@ -0,0 +1,100 @@
+//! What hosts tell each other of the duty.
+
+use azurenotch_wire::{
+    Map,
+    id::{Host, Incarnation},
+    time::Instant,
+};
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+/// What a host knows of the duty; each datagram carries it.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Claim {
+    /// Highest token; 0 if there is none.
+    pub token: u64,
+    /// Hash of the name of the host that took the token ([`hash32`](azurenotch_wire::hash::hash32)).
+    pub holder: u32,
+    /// Highest window whose report was written; 0 if there is none.
+    pub written: u64,
+    /// Highest window whose report was accepted; 0 if there is none.
+    pub accepted: u64,
+}
+
+impl Claim {
+    /// Returns what is known from both claims together.
+    #[must_use]
+    pub fn merge(self, other: Self) -> Self {
+        let newer = if other.token > self.token {
+            other
+        } else {
+            self
+        };
+        Self {
+            token: newer.token,
+            holder: newer.holder,
+            written: self.written.max(other.written),
+            accepted: self.accepted.max(other.accepted),
+        }
+    }
+}
+
+/// Claims of the other hosts.
+#[derive(Debug, Clone, Default)]
+pub struct Claims {
+    hosts: Map<Host, Heard>,
+    merged: Claim,
+    /// When the last host was removed or restarted.
+    lost: Option<Instant>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Heard {
+    incarnation: Incarnation,
+    last: Instant,
+}
+
+impl Claims {
+    /// Records the claim in a datagram that arrived at `now`.
+    ///
+    /// A host without the duty in its settings sends no claim and is not recorded.
+    pub fn receive(&mut self, now: Instant, host: &Host, incarnation: Incarnation, claim: Claim) {
+        self.merged = self.merged.merge(claim);
+        let heard = Heard {
+            incarnation,
+            last: now,
+        };
+        match self.hosts.get_mut(host) {
+            Some(known) if known.incarnation > incarnation => {}
+            Some(known) => {
+                if known.incarnation < incarnation {
+                    self.lost = Some(now);
+                }
+                *known = heard;
+            }
+            None => {
+                self.hosts.insert(host.clone(), heard);
+            }
+        }
+    }
+
+    /// Removes a host that no longer runs.
+    pub fn forget(&mut self, now: Instant, host: &Host) {
+        if self.hosts.remove(host).is_some() {
+            self.lost = Some(now);
+        }
+    }
+
+    /// Returns what is known from all claims together.
+    pub fn merged(&self) -> Claim {
+        self.merged
+    }
+
+    /// Returns whether the claims contain all that other hosts did until `at`.
+    ///
+    /// A host that was lost within `memory` before may have done something that it could not tell.
+    pub fn is_complete(&self, at: Instant, memory: Duration) -> bool {
+        let is_heard = self.hosts.values().all(|heard| heard.last > at);
+        is_heard && self.lost.is_none_or(|lost| lost + memory < at)
+    }
+}
