feat(entry): count sends, exchange counts and drive usage reports

Cause: part U of docs/design/uneven-load.md; the settings, calls and decisions were there, but no host counted or reported. Change: sends are counted as they end, at one place. Two optional parts at the end of a datagram have time of day and claim for all hosts, and counts for the collectors; without the section no part is added. A task drives the state machine, keeps the names of the workspaces as they were written, and finishes a send under way when the host stops. The state machine of this commit only waits, so that no report is sent yet. Nothing is measured.

--- a/crates/core/src/version/placement/mod.rs
+++ b/crates/core/src/version/placement/mod.rs
@@ -12,6 +12,7 @@
 mod entry;
 mod estimate;
 mod limited;
+mod timing;
 mod unlisted;
 
 pub use crate::version::balance::Tier;
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -1,7 +1,7 @@
 //! Runs an entry host whose configuration, backend servers and orders come from a platform.
 
 use crate::{BAD_SETTINGS, START_FAILED, chain};
-use azurenotch_adapter::{Names, Table};
+use azurenotch_adapter::{Cloud, Names, Table};
 use azurenotch_entry::{
     process::{
         entry::Entry,
@@ -83,6 +83,9 @@
     let dependencies = Dependencies {
         format: Arc::new(Names::default()),
         store: Arc::new(Table::new(setting.store)),
+        accounts: setting
+            .usage
+            .map(|usage| Arc::new(Cloud::new(usage.address)) as _),
         clock,
         log: log.clone(),
     };
--- a/crates/entry/src/platform/usage.rs
+++ b/crates/entry/src/platform/usage.rs
@@ -7,7 +7,7 @@
 use std::{collections::BTreeMap, fmt::Debug, time::Duration};
 
 /// Requests that servers began to run, by workspace.
-pub type Counts = BTreeMap<Workspace, u64>;
+pub type Counts = BTreeMap<Workspace, u32>;
 
 /// Row of the usage reports in the store.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -20,7 +20,9 @@
     pub incarnation: u64,
     /// Last reports, oldest first.
     pub reports: Vec<Report>,
-    /// The store's clock at the write, as far as the writer knows it.
+    /// Highest window of which no report is written any more, unless the row has it.
+    pub floor: u64,
+    /// The store's clock at the write; not below the real one.
     pub written: Duration,
 }
 
--- a/crates/entry/src/process/entry.rs
+++ b/crates/entry/src/process/entry.rs
@@ -12,6 +12,7 @@
         gossip::Gossip,
         lag, move_state, probe, relay,
         state::{Dependencies, State, Stop},
+        usage,
     },
     setting::Setting,
 };
@@ -44,6 +45,9 @@
 /// Time for these answers if the process ran again only after that part.
 const MIN_ANSWER_TIME: Duration = Duration::from_millis(20);
 
+/// Time for the last counts of usage to be sent.
+const LAST_COUNTS_TIME: Duration = Duration::from_millis(100);
+
 /// Result of starting a host.
 pub type Result<T, E = Error> = std::result::Result<T, E>;
 
@@ -75,6 +79,8 @@
     callers: JoinHandle<()>,
     stop_callers: CancellationToken,
     stop: CancellationToken,
+    /// Task of the usage reports.
+    usage: JoinHandle<()>,
 }
 
 impl Entry {
@@ -122,6 +128,7 @@
             stop.clone(),
         ));
         spawn_control(&state, gossip, &stop);
+        let usage = tokio::spawn(usage::run(Arc::clone(&state), stop.clone()));
         let stop_callers = CancellationToken::new();
         let callers = tokio::spawn(listener::serve(
             callers,
@@ -135,6 +142,7 @@
             callers,
             stop_callers,
             stop,
+            usage,
         })
     }
 
@@ -162,6 +170,7 @@
             mut callers,
             stop_callers,
             stop,
+            usage,
         } = self;
         info!(state.log(), "entry: stopping";
             "late-ms-at-most" => state.now().since(asked).as_millis() as u64);
@@ -187,7 +196,17 @@
                 callers.abort();
             }
         }
+        if state.usage.is_some() {
+            // The collectors get the counts of the last requests.
+            state.gossip_wakeup.notify_one();
+            sleep(LAST_COUNTS_TIME.min(left(asked + grace - EXIT_RESERVE))).await;
+        }
         stop.cancel();
+        // A report under way is finished; it ends at once otherwise.
+        let ended = timeout(left(asked + grace - EXIT_RESERVE), usage).await;
+        if ended.is_err() {
+            warn!(state.log(), "usage: stopped before the answer to a report");
+        }
         info!(state.log(), "entry: stopped";
             "ms" => state.now().since(asked).as_millis() as u64);
     }
--- a/crates/entry/src/process/gossip.rs
+++ b/crates/entry/src/process/gossip.rs
@@ -8,6 +8,7 @@
 mod inbound;
 mod outbound;
 mod updates;
+mod usage;
 
 use crate::{
     platform::Subject,
@@ -133,7 +134,7 @@
         loop {
             self.sweep();
             let targets = self.targets(first);
-            self.send_round(&targets, first).await;
+            self.send_round(&targets, first, true).await;
             first = false;
             // Jitter keeps hosts that started together from sending together.
             let round = round_interval(targets.len()).mul_f64(random_range(0.9..1.1));
@@ -151,7 +152,7 @@
                 () = self.state.gossip_wakeup.notified() => return,
                 () = self.state.update_wakeup.notified() => {
                     let receivers = self.receivers();
-                    self.send_round(&receivers, false).await;
+                    self.send_round(&receivers, false, false).await;
                 }
             }
         }
@@ -205,6 +206,7 @@
                 quota.forget(host);
             }
         }
+        self.sweep_usage(now, &removed);
         self.state.update_warmup_senders(now);
         self.state.update_limit_senders(now);
         self.state.sweep_suspects(now);
--- a/crates/entry/src/process/gossip/contact.rs
+++ b/crates/entry/src/process/gossip/contact.rs
@@ -13,6 +13,8 @@
 pub(super) struct Contact {
     /// Returned to it in the next datagram.
     pub(super) echo: Echo,
+    /// When it was received.
+    heard: Instant,
     /// Versions of its rows, orders first.
     versions: [u64; 2],
     told: Option<Told>,
@@ -32,6 +34,7 @@
     pub(super) const fn new(echo: Echo, versions: [u64; 2]) -> Self {
         Self {
             echo,
+            heard: Instant::ZERO,
             versions,
             told: None,
         }
@@ -40,11 +43,17 @@
     /// Takes over what the host said at `now` of the versions of its rows.
     pub(super) fn update(&mut self, now: Instant, echo: Echo, versions: [u64; 2]) {
         self.echo = echo;
+        self.heard = now;
         self.versions = versions;
         let told = self.told.take();
         self.told = told.and_then(|told| told.acknowledged(now, versions));
     }
 
+    /// Returns the time for which this host has held the echo.
+    pub(super) fn held(&self, now: Instant) -> Duration {
+        now.since(self.heard)
+    }
+
     /// Records that the host is sent changes up to these versions.
     pub(super) fn tell(&mut self, now: Instant, versions: [u64; 2]) {
         let first = self.told(now).map_or((now, versions), |told| told.first);
--- a/crates/entry/src/process/gossip/inbound.rs
+++ b/crates/entry/src/process/gossip/inbound.rs
@@ -15,13 +15,17 @@
     process::{echo::Echo, election::Path, moment::Moment, presence::Status, quota::Count},
     version::{cutover::Evidence, placement::Load},
 };
-use azurenotch_wire::{hash::hash32, id::Host, time::Instant};
+use azurenotch_wire::{
+    hash::hash32,
+    id::{Host, Incarnation},
+    time::Instant,
+};
 use slog::{debug, info, warn};
 use std::{net::IpAddr, sync::atomic::Ordering, time::Duration};
 use tokio::{sync::watch, time::sleep};
 
 /// Largest datagram that is read, in bytes; with 84 hosts a datagram has about 400.
-const MAX_DATAGRAM_BYTES: usize = 8 * 1024;
+pub(super) const MAX_DATAGRAM_BYTES: usize = 8 * 1024;
 /// Longest age of a host's last confirmation until its own feed counts as cut off from the store.
 ///
 /// It then requests updates from a newer peer.
@@ -61,7 +65,7 @@
                     }
                     if received.joined {
                         // A host that has just started learns from the answer what it missed.
-                        self.send_round(&[target], true).await;
+                        self.send_round(&[target], true, false).await;
                     }
                 }
                 Err(error) => {
@@ -81,6 +85,7 @@
             access,
             suspects,
             completeness,
+            usage,
         } = datagram;
         let state = &self.state;
         let now = state.now();
@@ -142,6 +147,7 @@
             state.receive_limits(now, echoed, &limits.reports);
         }
         state.receive_suspects(now, &host, &suspects);
+        self.receive_usage(now, (&host, Incarnation(incarnation)), echoed, &usage);
         self.receive_updates(message.updates);
         self.receive_shared(message.shared);
         if let (Some(sent), Some(age_ms)) = (echoed, completeness.age_ms) {
--- a/crates/entry/src/process/gossip/outbound.rs
+++ b/crates/entry/src/process/gossip/outbound.rs
@@ -3,6 +3,7 @@
 use super::{
     Gossip, MAX_UPDATE_BYTES, UPDATE_SUBJECTS,
     updates::{Round, Updates},
+    usage::with_ends,
 };
 use crate::process::{
     message::{Access, Completeness, Head},
@@ -15,7 +16,14 @@
 
 impl Gossip {
     /// Sends a round of messages to these hosts; `joined` says that they have just started.
-    pub(super) async fn send_round(&self, targets: &[(Option<Host>, SocketAddr)], joined: bool) {
+    ///
+    /// `is_regular` says that the round goes to all hosts, so that it has the counts of usage.
+    pub(super) async fn send_round(
+        &self,
+        targets: &[(Option<Host>, SocketAddr)],
+        joined: bool,
+        is_regular: bool,
+    ) {
         let round = match self.encode_round(joined) {
             Ok(round) => round,
             Err(error) => {
@@ -23,6 +31,7 @@
                 return;
             }
         };
+        let usage = self.usage_round(&round, is_regular);
         let receivers = self.receivers();
         for target in targets {
             let (host, address) = target;
@@ -31,8 +40,9 @@
             let Ok(head) = rmp_serde::to_vec(&Head { echo }) else {
                 continue;
             };
-            for body in bodies {
-                let bytes = [head.as_slice(), body].concat();
+            let ends = usage.as_ref().map(|it| self.usage_ends(host.as_ref(), it));
+            for (body, end) in with_ends(&bodies, &round.status, ends) {
+                let bytes = [head.as_slice(), body, &end].concat();
                 // The next round makes up for a lost datagram.
                 if let Err(error) = self.socket.send_to(&bytes, *address).await {
                     debug!(self.state.log(), "gossip: cannot send datagram"; "to" => %address,
@@ -84,7 +94,9 @@
         let mut encode = |updates: Option<[Update; 2]>| {
             let mut end = Vec::new();
             // A part needs all those before it.
-            let has_suspects_part = completeness.is_some() || !suspects.is_empty();
+            let has_usage_part = self.state.usage.is_some();
+            let has_completeness_part = completeness.is_some() || has_usage_part;
+            let has_suspects_part = has_completeness_part || !suspects.is_empty();
             if updates.is_some() || has_suspects_part || !limits.reports.is_empty() {
                 rmp_serde::encode::write(&mut end, &limits)?;
             }
@@ -94,8 +106,8 @@
             if has_suspects_part {
                 rmp_serde::encode::write(&mut end, &suspects)?;
             }
-            if let Some(completeness) = &completeness {
-                rmp_serde::encode::write(&mut end, completeness)?;
+            if has_completeness_part {
+                rmp_serde::encode::write(&mut end, &completeness.unwrap_or_default())?;
             }
             message.updates = updates;
             let body = rmp_serde::to_vec(&message)?;
--- a/crates/entry/src/process/gossip/updates.rs
+++ b/crates/entry/src/process/gossip/updates.rs
@@ -20,6 +20,15 @@
     pub(super) versions: [u64; 2],
 }
 
+impl Round {
+    /// Returns the size of the largest body in bytes.
+    pub(super) fn largest_body(&self) -> usize {
+        let parts = self.parts.iter().map(|(_, body)| body.len());
+        let others = [self.rest.len(), self.status.len()];
+        parts.chain(others).max().unwrap_or_default()
+    }
+}
+
 /// Recent changes of the rows, orders first.
 #[derive(Debug)]
 pub(super) struct Updates {
--- a/crates/entry/src/process/message.rs
+++ b/crates/entry/src/process/message.rs
@@ -5,7 +5,7 @@
     process::replica::{Freshness, Update},
 };
 use azurenotch_core::{
-    process::{echo::Echo, moment::Moment, quota::Count, suspect::News},
+    process::{echo::Echo, moment::Moment, quota::Count, suspect::News, usage},
     version::{cutover::Evidence, limit},
 };
 use azurenotch_wire::time::Instant;
@@ -25,6 +25,16 @@
     pub(crate) suspects: News,
     /// Left out unless the store was restored; builds before it ignore it.
     pub(crate) completeness: Completeness,
+    pub(crate) usage: UsageParts,
+}
+
+/// Parts about the usage reports; left out unless the settings ask for them.
+#[derive(Debug)]
+pub(crate) struct UsageParts {
+    /// Time of day and claim.
+    pub(crate) status: Option<Usage>,
+    /// Counts of the sender, sent to collectors only.
+    pub(crate) counts: Option<usage::Part>,
 }
 
 /// Start of a datagram, which differs for each receiver.
@@ -115,6 +125,17 @@
     }
 }
 
+/// What the receiver needs for the usage reports, besides the counts.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub(crate) struct Usage {
+    /// The sender's time of day in milliseconds since the Unix epoch.
+    pub(crate) wall_ms: u64,
+    /// Milliseconds since the sender received the message of the echo; `None` without an echo.
+    pub(crate) held_ms: Option<u32>,
+    /// What the sender knows of the duty to report.
+    pub(crate) claim: usage::Claim,
+}
+
 /// What the sender heard about the limit of a backend server.
 #[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 pub(crate) struct LimitReport {
@@ -160,6 +181,10 @@
         access: decode_optional(&mut reader)?,
         suspects: decode_optional(&mut reader)?,
         completeness: decode_optional(&mut reader)?,
+        usage: UsageParts {
+            status: decode_optional(&mut reader)?,
+            counts: decode_optional(&mut reader)?,
+        },
     })
 }
 
--- a/crates/entry/src/process/metrics.rs
+++ b/crates/entry/src/process/metrics.rs
@@ -1,5 +1,9 @@
 //! Prometheus metrics of an entry host.
 
+mod usage;
+
+pub use usage::Usage;
+
 use prometheus::{
     Error, Gauge, GaugeVec, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec,
     Opts, Registry, TextEncoder, core::Collector,
--- a/crates/entry/src/process/mod.rs
+++ b/crates/entry/src/process/mod.rs
@@ -16,3 +16,4 @@
 pub(crate) mod server_limit;
 pub mod state;
 pub(crate) mod suspects;
+pub mod usage;
--- a/crates/entry/src/process/state.rs
+++ b/crates/entry/src/process/state.rs
@@ -4,8 +4,8 @@
     connection::register::{Crowd, Observer},
     era::Era,
     model::Peer,
-    platform::{Format, Store, Subject},
-    process::{change::last_resort_time, metrics::Metrics, replica::Replica},
+    platform::{Format, Store, Subject, usage::Accounts},
+    process::{change::last_resort_time, metrics::Metrics, replica::Replica, usage::Book},
     request::suspect::Check,
     setting::Setting,
     version::{
@@ -34,7 +34,7 @@
 use azurenotch_platform::Clock;
 use azurenotch_wire::{
     Map, hash,
-    id::{Host, Region, Server, Service, Workspace},
+    id::{Host, Incarnation, Region, Server, Service, Workspace},
     time::Instant,
 };
 use parking_lot::Mutex;
@@ -69,6 +69,8 @@
     pub format: Arc<dyn Format>,
     /// Client of the platform's store.
     pub store: Arc<dyn Store>,
+    /// Client of the platform's accounts; `None` if the settings do not ask for usage reports.
+    pub accounts: Option<Arc<dyn Accounts>>,
     /// Monotonic clock.
     pub clock: Arc<dyn Clock>,
     /// Logger, which adds the name of the host to each line.
@@ -169,6 +171,8 @@
     pub forecasts: Mutex<Map<u32, Forecast>>,
     /// Key of the identities of requests.
     pub identity_key: identity::Key,
+    /// Counts for the usage reports; `None` if the settings do not ask for them.
+    pub usage: Option<Mutex<Book>>,
     /// Memory that buffered bodies use.
     pub memory: Arc<Mutex<Account>>,
     pub(super) location: ArcSwap<Location>,
@@ -190,10 +194,16 @@
         membership
             .presence
             .set_contact_bound(setting.bounds.contact);
+        let usage = setting.usage.map(|terms| {
+            let clock = &dependencies.clock;
+            let host = (own.host.clone(), Incarnation(own.incarnation));
+            Mutex::new(Book::new(host, &terms, clock.now(), clock.wall_ms()))
+        });
         let suspects = suspect::Table::new(hash::hash32(own.host.as_str()));
         Ok(Self {
             own,
             dependencies,
+            usage,
             memory: Arc::new(Mutex::new(account)),
             location: ArcSwap::from_pointee(own_location(&setting)),
             suspects: Mutex::new(suspects),
--- a/crates/entry/src/request/attempt.rs
+++ b/crates/entry/src/request/attempt.rs
@@ -1,8 +1,11 @@
 //! Sends a request to one backend server and reads the answer.
 
+mod count;
+mod limit;
+
 use crate::{
     connection::pool::{self, Lease, Pool, SendError},
-    process::{server_limit::Process, state::State},
+    process::state::State,
     request::{
         head,
         memory::Reservation,
@@ -12,6 +15,7 @@
     version::catalog::Grant,
 };
 use azurenotch_core::{
+    process::usage::End,
     request::{
         identity::{Identity, Key, Parts},
         pause,
@@ -49,6 +53,8 @@
 const GIVEN_TIME_RESOLUTION: Duration = Duration::from_millis(1);
 /// Largest answer body that is buffered as a whole; the rest of a larger one is streamed.
 const MAX_BUFFERED_ANSWER_BYTES: usize = 256 * 1024;
+/// Why no answer came if the connection closed before one.
+const RESET: &str = "reset";
 /// Time without reuse of a server's connections after one carried the answer to another request.
 const NO_REUSE_AFTER_MISMATCH: Duration = Duration::from_secs(8);
 
@@ -129,6 +135,10 @@
     /// Id of the request as sent by the caller, for logs.
     id: &'a str,
     sent: Instant,
+    /// Whether the connection has carried another request before.
+    reused: bool,
+    /// End of the exchange; `None` while no answer has come.
+    end: Option<End>,
     ended: bool,
 }
 
@@ -137,6 +147,7 @@
     fn end(&mut self, verdict: Verdict) {
         self.ended = true;
         let now = self.state.now();
+        self.count(now);
         let latency = now.since(self.sent);
         if verdict == Verdict::Unreachable {
             self.state.slew.lock().record_failure(now);
@@ -195,6 +206,8 @@
         target,
         id: &job.id,
         sent: state.now(),
+        reused: false,
+        end: Some(End::Unsent),
         ended: false,
     };
     let lease = match acquire(state, job, target).await {
@@ -209,14 +222,17 @@
             return Ending::Unsent(error);
         }
     };
-    let reused = lease.reused;
+    attempt.reused = lease.reused;
     attempt.sent = state.now();
     if !is_still_available(state, target, attempt.sent) || !permit.may_send(attempt.sent) {
         attempt.end(Verdict::Abandoned);
         return Ending::Withdrawn;
     }
     permit.begin(attempt.sent);
-    match exchange(state, job, target, lease, attempt.sent).await {
+    attempt.end = None;
+    let exchanged = exchange(state, job, target, lease, attempt.sent).await;
+    attempt.end = Some(count::end(state, &exchanged));
+    match exchanged {
         Exchanged::Head(response, lease) => {
             observe_load(state, target, response.headers());
             let status = response.status();
@@ -247,7 +263,7 @@
         Exchanged::Broken(reason) => {
             state.slew.lock().record_failure(state.now());
             // The server may have closed a reused connection before it read the request: no fault.
-            attempt.end(if reused {
+            attempt.end(if attempt.reused {
                 Verdict::Abandoned
             } else {
                 Verdict::Failed
@@ -339,7 +355,7 @@
             return Exchanged::Broken(if error.is_parse() || is_malformed(&error) {
                 "not-http"
             } else {
-                "reset"
+                RESET
             });
         }
     };
@@ -350,10 +366,10 @@
     let belongs = echoed_id.map_or(!lease.reused, |id| Some(id) == request_id);
     if !belongs {
         // Answer to an earlier request, sent at an unknown time.
-        observe_limit(state, target, &response, Instant::ZERO);
+        limit::observe(state, target, &response, Instant::ZERO);
         return Exchanged::Mismatched;
     }
-    observe_limit(state, target, &response, sent);
+    limit::observe(state, target, &response, sent);
     let success = response.status().is_success();
     if success && !response.headers().contains_key(&protocol.signature) {
         return Exchanged::Broken("unsigned");
@@ -443,27 +459,6 @@
     }
 }
 
-/// Records the limit that the server named in its answer to a request sent at `sent`, or none.
-///
-/// Only a signed answer can end a limit: what is on the way to the server may answer without it.
-fn observe_limit(state: &State, target: &Target, response: &Response<Incoming>, sent: Instant) {
-    if is_from_other(state, target, response) {
-        return;
-    }
-    let protocol = state.dependencies.format.protocol();
-    let headers = response.headers();
-    let limit = head::limit(headers, protocol);
-    if limit == Ok(None) && !headers.contains_key(&protocol.signature) {
-        return;
-    }
-    let process = Process {
-        service: &target.service,
-        server: &target.server,
-        incarnation: target.incarnation,
-    };
-    state.record_limit(process, limit, sent);
-}
-
 /// Records the pause that the server asked for; returns whether it asked for one.
 fn observe_pause(state: &State, target: &Target, response: &Response<Incoming>) -> bool {
     if response.status() != StatusCode::SERVICE_UNAVAILABLE {
