--- a/crates/core/src/process/usage.rs
+++ b/crates/core/src/process/usage.rs
@@ -5,6 +5,7 @@
 //! the store and then sends it ([`Reporter`]). A report that may have been sent is therefore known to
 //! each successor and never replaced by a different one.
 
+mod action;
 mod begin;
 mod claims;
 mod ledger;
@@ -13,10 +14,11 @@
 mod row;
 mod tally;
 
+pub use action::{Action, Event, Moments, Read, Sent, View, Write};
 pub use begin::{Attempt, End, begin};
 pub use claims::{Claim, Claims};
 pub use ledger::Ledger;
-pub use reporter::{Action, Event, Moments, Read, Reporter, Sent, View, Write};
+pub use reporter::Reporter;
 pub use row::{Counts, Holder, Report, Row, Stored};
 pub use tally::{Part, Tally};
 
