--- a/crates/entry/src/process/gossip/usage.rs
+++ b/crates/entry/src/process/gossip/usage.rs
@@ -94,7 +94,9 @@
             now.since(sent).saturating_sub(held)
         });
         let half_rtt = rtt.unwrap_or_default() / 2;
-        book.lock().receive(now, from, half_rtt, status, counts);
+        let steady = self.state.dependencies.clock.steady();
+        book.lock()
+            .receive(now, steady, from, half_rtt, status, counts);
     }
 
     /// Drops what is known of the usage of hosts that are unreachable or no longer run.
@@ -103,8 +105,10 @@
         if let Some(book) = &state.usage {
             let membership = state.membership.lock();
             let is_reachable = |host: &Host| membership.presence.is_reachable(now, host);
-            let wall_ms = state.dependencies.clock.wall_ms();
-            book.lock().sweep(now, wall_ms, removed, is_reachable);
+            let clock = &state.dependencies.clock;
+            let present = (now, clock.steady());
+            book.lock()
+                .sweep(present, clock.wall_ms(), removed, is_reachable);
         }
     }
 }
--- a/crates/entry/src/process/usage.rs
+++ b/crates/entry/src/process/usage.rs
@@ -103,9 +103,12 @@
     }
 
     /// Takes in the parts of another host's datagram that are about usage.
+    ///
+    /// `steady` is the present time on the clock that stands still while the machine is suspended.
     pub(crate) fn receive(
         &mut self,
         now: Instant,
+        steady: Instant,
         from: (&Host, Incarnation),
         half_rtt: Duration,
         usage: &message::Usage,
@@ -113,7 +116,7 @@
     ) {
         let (host, incarnation) = from;
         self.clock.observe(host, now, usage.wall_ms, half_rtt);
-        self.claims.receive(now, host, incarnation, usage.claim);
+        self.claims.receive(steady, host, incarnation, usage.claim);
         self.members.insert(host.clone(), now);
         if let Some((time, part)) = self.clock.time(now).zip(part) {
             self.ledger.receive(time, host, incarnation, part);
@@ -121,16 +124,18 @@
     }
 
     /// Drops what is known of hosts that are unreachable; `removed` hosts no longer run.
+    ///
+    /// The first argument has the present time on both clocks.
     pub(crate) fn sweep(
         &mut self,
-        now: Instant,
+        (now, steady): (Instant, Instant),
         wall_ms: u64,
         removed: &[Host],
         is_reachable: impl Fn(&Host) -> bool,
     ) {
         self.clock.set_own(now, wall_ms);
         for host in removed {
-            self.claims.forget(now, host);
+            self.claims.forget(steady, host);
             self.members.remove(host);
         }
         for host in self.members.keys().filter(|host| !is_reachable(host)) {
--- a/crates/entry/src/process/usage/duty.rs
+++ b/crates/entry/src/process/usage/duty.rs
@@ -173,9 +173,17 @@
             Err(Error::Refused { .. }) => Write::Unavailable,
             Err(_) => Write::Ambiguous,
         };
-        if let Err(error) = &result {
-            warn!(self.state.log(), "usage: row not written"; "error" => %error,
-                "token" => row.token);
+        match &result {
+            Ok(_) => {}
+            // Another host acts.
+            Err(error @ Error::Conflict) => {
+                info!(self.state.log(), "usage: row not written"; "error" => %error,
+                    "token" => row.token);
+            }
+            Err(error) => {
+                warn!(self.state.log(), "usage: row not written"; "error" => %error,
+                    "token" => row.token);
+            }
         }
         self.reporter.on_write(self.moments(), write);
         matches!(write, Write::Written { .. } | Write::Conflict)
