fix(core): collectors without all counts of a window write later

Change: a collector that was none from the begin of the window on, while a host was lost, writes 1.8 s later. Counts outlive a true time that is wrong for a moment, and windows far from the present take no memory. Tests of single rules of Reporter are added.

--- a/crates/core/src/process/usage/claims.rs
+++ b/crates/core/src/process/usage/claims.rs
@@ -8,6 +8,9 @@
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
+/// Time without a claim after which a host may have stopped.
+const MAX_SILENCE: Duration = Duration::from_secs(2);
+
 /// What a host knows of the duty; each datagram carries it.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Claim {
@@ -97,4 +100,10 @@
         let is_heard = self.hosts.values().all(|heard| heard.last > at);
         is_heard && self.lost.is_none_or(|lost| lost + memory < at)
     }
+    /// Returns whether no host is known to have stopped within `age` before `now`.
+    pub(super) fn is_unbroken(&self, now: Instant, age: Duration) -> bool {
+        let mut hosts = self.hosts.values();
+        let is_heard = hosts.all(|heard| now.since(heard.last) < MAX_SILENCE);
+        is_heard && self.lost.is_none_or(|lost| now.since(lost) > age)
+    }
 }
--- a/crates/core/src/process/usage/reporter.rs
+++ b/crates/core/src/process/usage/reporter.rs
@@ -29,6 +29,10 @@
 const TAKEOVER_MARGIN: Duration = Duration::from_secs(1);
 /// Delay between the first attempts of two collectors to write a window.
 const WRITE_TURN_DELAY: Duration = Duration::from_millis(1_200);
+/// Additional delay of a collector that may lack the counts of hosts that stopped.
+///
+/// It is longer than a turn, and even the third such collector writes before the report is due.
+const INCOMPLETE_DELAY: Duration = Duration::from_millis(1_800);
 /// Delay between the attempts of two collectors to take over a report that was not accepted.
 ///
 /// All have to fit between the earliest takeover and the time at which the report is due, one second.
@@ -82,7 +86,10 @@
     store: BackOff,
     cloud: BackOff,
     started: Option<Instant>,
+    /// Since when this host has been a collector without a stop.
     collector_since: Option<Instant>,
+    /// Since when it has also had a reliable true time.
+    ready_since: Option<Instant>,
     /// Time of the last poll.
     polled: Option<Moments>,
     events: Vec<Event>,
@@ -105,6 +112,7 @@
             cloud: BackOff::default(),
             started: None,
             collector_since: None,
+            ready_since: None,
             polled: None,
             events: Vec::new(),
         }
@@ -246,11 +254,17 @@
     fn hear(&mut self, now: Moments, view: &View<'_>) {
         self.started.get_or_insert(now.steady);
         let last = self.polled.replace(now);
-        if view.rank.is_none() || last.is_none_or(|last| has_jumped(&last, &now)) {
+        let is_stopped = last.is_some_and(|last| now.boot.since(last.boot) > STALL);
+        if view.rank.is_none() || is_stopped {
             self.collector_since = None;
+            self.ready_since = None;
+        }
+        if last.is_some_and(|last| is_stepped(&last, &now)) {
+            self.ready_since = None;
         }
         if view.rank.is_some() {
             self.collector_since.get_or_insert(now.steady);
+            self.ready_since.get_or_insert(now.steady);
         }
         self.known = self.known.merge(view.claims.merged());
         self.see_era(now, view.era.max(era_of(self.known.token)));
@@ -327,16 +341,13 @@
     }
 }
 
-/// Returns whether the host was stopped or its true time changed between two polls.
-fn has_jumped(last: &Moments, now: &Moments) -> bool {
-    let is_stepped = match (last.time, now.time) {
-        (Some(before), Some(after)) => {
-            let expected = before + now.steady.since(last.steady);
-            after.since(expected).max(expected.since(after)) > MAX_TIME_STEP
-        }
-        (None, _) | (_, None) => true,
+/// Returns whether the true time changed between two polls.
+fn is_stepped(last: &Moments, now: &Moments) -> bool {
+    let (Some(before), Some(after)) = (last.time, now.time) else {
+        return true;
     };
-    is_stepped || now.boot.since(last.boot) > STALL
+    let expected = before + now.steady.since(last.steady);
+    after.since(expected).max(expected.since(after)) > MAX_TIME_STEP
 }
 
 /// Returns the delay of the collector with this rank.
--- a/crates/core/src/process/usage/reporter/store.rs
+++ b/crates/core/src/process/usage/reporter/store.rs
@@ -1,8 +1,8 @@
 //! Reads and writes of the row.
 
 use super::{
-    COLLECT_TIME, Call, MAX_UNANSWERED, RESEND_TURN_DELAY, Reporter, TAKEOVER_MARGIN, Update,
-    WRITE_TURN_DELAY, takeover_time, turn,
+    COLLECT_TIME, Call, INCOMPLETE_DELAY, MAX_UNANSWERED, RESEND_TURN_DELAY, Reporter,
+    TAKEOVER_MARGIN, Update, WRITE_TURN_DELAY, takeover_time, turn,
 };
 use crate::process::{
     usage::{Action, Claims, Moments, Report, Row, Stored, View, Window},
@@ -88,11 +88,12 @@
         rank: usize,
         view: &View<'_>,
     ) -> Option<Action> {
-        let has_counts = self
-            .collector_since
+        let is_ready = self
+            .ready_since
             .is_some_and(|since| now.steady.since(since) >= COLLECT_TIME);
-        let is_due = self.is_write_due(time, rank) || self.is_resend_due(now, time, rank);
-        if !has_counts || !is_due || !self.store.is_due(now.steady) {
+        let is_due =
+            self.is_write_due(now, time, rank, view.claims) || self.is_resend_due(now, time, rank);
+        if !is_ready || !is_due || !self.store.is_due(now.steady) {
             return None;
         }
         let Some(reading) = self.fresh_reading(now) else {
@@ -118,9 +119,22 @@
     }
 
     /// Returns whether this host should write a new window, as nobody is known to have written it.
-    fn is_write_due(&self, time: Time, rank: usize) -> bool {
+    ///
+    /// Only collectors have the counts of hosts that stopped since the begin of the window, so that a
+    /// host that was none then lets the others write first.
+    fn is_write_due(&self, now: Moments, time: Time, rank: usize, claims: &Claims) -> bool {
         let delay = turn(rank, WRITE_TURN_DELAY);
         let newest = self.newest(time - delay);
+        let age = time.since(newest.begin(&self.setting));
+        let is_older = |since: Instant| now.steady.since(since) >= age;
+        let has_collected = self.collector_since.is_some_and(is_older);
+        // The counts of an earlier incarnation of this host may be missing too.
+        let has_run = self.started.is_some_and(is_older);
+        let newest = if has_collected || (has_run && claims.is_unbroken(now.steady, age)) {
+            newest
+        } else {
+            self.newest(time - delay - INCOMPLETE_DELAY)
+        };
         newest.0 > self.known.written && newest.due(&self.setting) > time
     }
 
--- a/crates/core/src/process/usage/tally.rs
+++ b/crates/core/src/process/usage/tally.rs
@@ -5,6 +5,13 @@
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
+/// Number of windows beyond the present one that are sent, as a run may just have begun.
+const MAX_AHEAD: u64 = 1;
+/// Time for which counts are kept before and after they are sent, as a multiple of the time until a
+/// report is due.
+///
+/// The true time of a host that has just lost its contact to the others may be wrong by seconds.
+const RETENTION: u32 = 6;
 /// Largest encoded size of a part without its rows, in bytes.
 const PART_OVERHEAD_BYTES: usize = 15;
 /// Largest encoded size of a row without its counts, in bytes.
@@ -47,16 +54,22 @@
 
     /// Returns the counts to send in a round, in parts of at most `max_bytes` when encoded.
     ///
-    /// Windows that are due are dropped. A row that is larger than `max_bytes` is a part of its own.
+    /// Windows are sent until they are due. A row that is larger than `max_bytes` is a part of its own.
     pub fn parts(&mut self, now: Time, max_bytes: usize) -> Vec<Part> {
         let setting = self.setting;
-        self.windows.retain(|window, _| window.due(&setting) > now);
-        let Some(first) = self.windows.keys().next().copied() else {
+        let kept = setting.late * RETENTION;
+        self.windows.retain(|window, _| {
+            window.due(&setting) + kept > now && window.begin(&setting) < now + kept
+        });
+        let last = Window(Window::at(now, &setting).0 + MAX_AHEAD);
+        let open = self.windows.range(..=last);
+        let mut open = open.filter(|(window, _)| window.due(&setting) > now);
+        let Some(first) = open.next().map(|(window, _)| *window) else {
             return Vec::new();
         };
         let mut parts = Vec::new();
         let mut size = usize::MAX;
-        for (workspace, counts) in self.rows(first) {
+        for (workspace, counts) in self.rows(first, last) {
             let row_size =
                 ROW_OVERHEAD_BYTES + counts.iter().copied().map(encoded_size).sum::<usize>();
             if size.saturating_add(row_size) > max_bytes {
@@ -72,9 +85,9 @@
         parts
     }
 
-    fn rows(&self, first: Window) -> BTreeMap<u32, Vec<u32>> {
+    fn rows(&self, first: Window, last: Window) -> BTreeMap<u32, Vec<u32>> {
         let mut rows: BTreeMap<u32, Vec<u32>> = BTreeMap::new();
-        for (window, counts) in &self.windows {
+        for (window, counts) in self.windows.range(first..=last) {
             let index = (window.0 - first.0) as usize;
             for (workspace, count) in counts {
                 let row = rows.entry(*workspace).or_default();
--- a/crates/core/src/process/usage/tests.rs
+++ b/crates/core/src/process/usage/tests.rs
@@ -3,3 +3,4 @@
 mod begin;
 mod count;
 mod order;
+mod reporter;
--- a/crates/core/src/process/usage/tests/count.rs
+++ b/crates/core/src/process/usage/tests/count.rs
@@ -1,7 +1,7 @@
 //! Guards against counts that are lost or counted twice on the way to a collector.
 
 use crate::process::{
-    usage::{Counts, Ledger, Setting, Tally, Window},
+    usage::{Counts, Ledger, Part, Setting, Tally, Window},
     wall::Time,
 };
 use azurenotch_wire::id::{Host, Incarnation};
@@ -88,12 +88,33 @@
 }
 
 #[test]
-fn windows_far_ahead_take_no_memory() {
+fn wrong_times_take_no_memory() {
     let mut tally = Tally::new(SETTING);
+    for ms in [0, 20_000, 3_600_000] {
+        tally.record(after(ms), 7);
+        tally.record(Time(ms), 7);
+    }
+    let parts = tally.parts(after(0), 1_000);
+    let rows: Vec<_> = parts.into_iter().flat_map(|part| part.rows).collect();
+    assert_eq!(rows, [(7, vec![1])]);
+
     let mut ledger = Ledger::new(SETTING);
-    tally.record(after(3_600_000), 7);
-    for part in tally.parts(after(0), 1_000) {
-        ledger.receive(after(0), &Host::from("h1"), Incarnation(1), &part);
+    let part = Part {
+        first: Window(0),
+        rows: vec![(7, vec![1; 900])],
+    };
+    ledger.receive(after(0), &Host::from("h1"), Incarnation(1), &part);
+    for (window, count) in [(97, 0), (98, 1), (101, 1), (102, 0)] {
+        let total = ledger.total(Window(window));
+        assert_eq!(total.get(&7).copied().unwrap_or(0), count, "{window}");
     }
-    assert!(ledger.total(Window(820)).is_empty());
+}
+
+#[test]
+fn a_wrong_time_loses_no_counts() {
+    let mut tally = Tally::new(SETTING);
+    tally.record(after(1_000), 7);
+    assert!(tally.parts(after(30_000), 1_000).is_empty());
+    let parts = tally.parts(after(2_000), 1_000);
+    assert_eq!(parts.len(), 1);
 }
--- a/crates/core/src/process/wall.rs
+++ b/crates/core/src/process/wall.rs
@@ -57,7 +57,8 @@
 /// Offsets of the times of day of the hosts from this host's steady clock.
 ///
 /// The offset of a host comes from its last datagram. A host that is no longer reachable must be
-/// removed with [`Clock::forget`].
+/// removed with [`Clock::forget`]. If the steady clock stops while the machine is suspended, the time is
+/// wrong after that until datagrams of half of the hosts have arrived.
 #[derive(Debug, Clone, Default)]
 pub struct Clock {
     own: Option<i64>,
--- a/crates/core/tests/usage/fleet.rs
+++ b/crates/core/tests/usage/fleet.rs
@@ -35,6 +35,8 @@
 /// Time for which a host says that it leaves, and until it runs again.
 const LEAVE_MS: u64 = 2_500;
 const RESTART_MS: u64 = 800;
+/// Probability that the store is restored just after a report was sent.
+const RESTORE: f64 = 0.02;
 /// Time from the start of a schedule after which windows have to be complete.
 const WARM_UP_MS: u64 = 6_000;
 
@@ -57,6 +59,8 @@
     /// The answer or the time limit of a call.
     Answer(Life, u64, Answer),
     Fault,
+    Suspend(Life),
+    Restore,
     /// The time of day of a host is stepped.
     Step(usize),
     Leave(usize),
@@ -230,11 +234,17 @@
             Event::Report(life, call, arrival) => {
                 if self.now >= self.cloud.down_until {
                     self.cloud.receive(self.now, arrival, &SETTING);
+                    if self.kind == Kind::Faults && self.rng.random_bool(RESTORE) {
+                        let delay = self.rng.random_range(0..1_000);
+                        self.at(delay, Event::Restore);
+                    }
                     self.reply(life, call, Place::Cloud, 0, Answer::Sent(Sent::Accepted));
                 }
             }
             Event::Answer(life, call, answer) => self.answer(life, call, answer),
             Event::Fault => self.fault(),
+            Event::Suspend(life) => self.suspend(life),
+            Event::Restore => self.restore(),
             Event::Step(index) => self.step_wall(index),
             Event::Leave(index) => self.hosts[index].is_leaving = true,
             Event::Stop(life) => self.stop(life, RESTART_MS),
--- a/crates/core/tests/usage/fleet/call.rs
+++ b/crates/core/tests/usage/fleet/call.rs
@@ -1,13 +1,21 @@
 //! Polls of the duty, and calls to the store and the endpoint.
 
 use super::{Answer, Event, Fleet, Life};
-use crate::{cloud::Arrival, host::PATH_LOST_MS, net::Place, verdict::Flaw};
+use crate::{
+    cloud::Arrival,
+    host::PATH_LOST_MS,
+    net::Place,
+    verdict::{Flaw, Kind},
+};
 use azurenotch_core::process::usage::{Action, Claims, Read, Row, Sent, Stored, View, Write};
+use rand::Rng;
 use std::time::Duration;
 
 /// Time limits of calls to the store and to the endpoint.
 const STORE_TIMEOUT_MS: u64 = 500;
 const CLOUD_TIMEOUT_MS: u64 = 1_000;
+/// Probability that a host is suspended just after it sent a write.
+const SUSPENSION: f64 = 0.04;
 
 impl Fleet {
     pub(super) fn poll(&mut self, index: usize) {
@@ -64,6 +72,10 @@
 
     fn begin_write(&mut self, life: Life, mut row: Row, expected: Option<u64>) {
         self.verdict.writes += 1;
+        if self.kind == Kind::Faults && self.rng.random_bool(SUSPENSION) {
+            let delay = self.rng.random_range(0..60);
+            self.at(delay, Event::Suspend(life));
+        }
         let host = &mut self.hosts[life.0];
         if self.flaw == Flaw::SameToken {
             let last = host.last_row.as_ref();
--- a/crates/core/tests/usage/fleet/fault.rs
+++ b/crates/core/tests/usage/fleet/fault.rs
@@ -1,6 +1,6 @@
 //! Random faults.
 
-use super::{Event, Fleet, LEAVE_MS};
+use super::{Event, Fleet, LEAVE_MS, Life};
 use crate::net::Place;
 use rand::Rng;
 
@@ -52,4 +52,20 @@
             }
         }
     }
+
+    /// Suspends a host for longer than the lease.
+    pub(super) fn suspend(&mut self, life: Life) {
+        let until = self.now + self.rng.random_range(4_000..9_000);
+        if let Some(index) = self.awake(life, || Event::Suspend(life)) {
+            self.hosts[index].freeze(self.now, until, true);
+        }
+    }
+
+    /// The store comes back from an older copy.
+    pub(super) fn restore(&mut self) {
+        let ago = self.rng.random_range(0..15_000);
+        let is_clock_reset = self.rng.random_bool(0.5);
+        let at = self.now.saturating_sub(ago);
+        self.store.restore(at, is_clock_reset);
+    }
 }
--- a/crates/core/tests/usage/host.rs
+++ b/crates/core/tests/usage/host.rs
@@ -70,6 +70,8 @@
     pub claims: Claims,
     pub reporter: Reporter,
     heard: Vec<Option<Heard>>,
+    names: Vec<Name>,
+    regions: [Region; 3],
     /// Row of the last read, and whether the token in use is that of its holder (for a flaw).
     pub last_row: Option<Row>,
     pub is_lowered: bool,
@@ -98,6 +100,8 @@
             claims: Claims::default(),
             reporter: Reporter::new(setting, name(index), Incarnation(incarnation)),
             heard: vec![None; hosts],
+            names: (0..hosts).map(name).collect(),
+            regions: ["a", "b", "c"].map(Region::from),
             last_row: None,
             is_lowered: false,
         }
@@ -146,7 +150,7 @@
     /// Takes in a datagram.
     pub fn receive(&mut self, now: u64, datagram: &Datagram, ledger_incarnation: u64) {
         let steady = self.steady(now);
-        let from = name(datagram.from);
+        let from = self.names[datagram.from].clone();
         let incarnation = Incarnation(datagram.incarnation);
         let known = self.heard[datagram.from];
         let is_new = known.is_none_or(|known| known.incarnation <= datagram.incarnation);
@@ -181,11 +185,11 @@
             };
             let silence = self.steady_ms(now) - heard.at;
             if silence >= UNREACHABLE_MS {
-                self.clock.forget(&name(index));
+                self.clock.forget(&self.names[index]);
             }
             if silence >= REMOVAL_MS {
                 self.heard[index] = None;
-                self.claims.forget(steady, &name(index));
+                self.claims.forget(steady, &self.names[index]);
             }
         }
     }
@@ -193,15 +197,13 @@
     /// Returns the collectors as this host sees them.
     pub fn collectors(&self, now: u64) -> Vec<usize> {
         let steady_ms = self.steady_ms(now);
-        let names: Vec<Name> = (0..self.heard.len()).map(name).collect();
-        let regions = ["a", "b", "c"].map(Region::from);
         let known = self.heard.iter().flatten();
         let known_count = known.clone().count();
         let is_reached = |heard: &&Heard| steady_ms - heard.at < UNREACHABLE_MS;
         let reached = known.filter(is_reached).count();
         let candidate = |index: usize, status: Status, is_reachable: bool| Candidate {
-            host: &names[index],
-            region: &regions[index % 3],
+            host: &self.names[index],
+            region: &self.regions[index % 3],
             is_serving: status.is_serving && is_reachable,
             path: status.path,
         };
@@ -213,7 +215,7 @@
         let claim = self.reporter.claim();
         let holder = (claim.token > 0).then_some(claim.holder);
         let chosen = collectors(own, others, holder);
-        let index = |host: &&Name| names.iter().position(|name| name == *host);
+        let index = |host: &&Name| self.names.iter().position(|name| name == *host);
         chosen.iter().filter_map(index).collect()
     }
 
