test(core): hosts that hear nobody go on sending their counts

Cause: a host whose incoming datagrams were lost had no collectors and sent its counts to nobody, although its own datagrams arrived.

--- a/crates/core/src/process/usage/order.rs
+++ b/crates/core/src/process/usage/order.rs
@@ -29,6 +29,9 @@
 /// `holder` is the hash of the known holder's name ([`Claim::holder`](super::Claim::holder)). It comes
 /// first, so that the duty moves only when it has to. The others are ordered by the hash of their
 /// names, those of regions without a collector first.
+///
+/// A host that hears of nobody gets no collectors. It should go on sending its counts to the last ones,
+/// as its datagrams may still arrive.
 pub fn collectors<'a>(
     own: Candidate<'a>,
     others: impl IntoIterator<Item = Candidate<'a>>,
--- a/crates/core/tests/usage/fleet.rs
+++ b/crates/core/tests/usage/fleet.rs
@@ -270,6 +270,10 @@
         host.refresh(now, EPOCH_MS);
         let full = host.datagram(now, EPOCH_MS);
         let collectors = host.collectors(now);
+        if !collectors.is_empty() {
+            host.receivers = collectors;
+        }
+        let collectors = host.receivers.clone();
         for to in (0..self.hosts.len()).filter(|to| *to != index) {
             let Some(delay) = self.net.datagram(&mut self.rng, now, index, to) else {
                 continue;
--- a/crates/core/tests/usage/host.rs
+++ b/crates/core/tests/usage/host.rs
@@ -69,6 +69,8 @@
     pub ledger: Ledger,
     pub claims: Claims,
     pub reporter: Reporter,
+    /// Last collectors that it knew; a host that hears nobody goes on sending to them.
+    pub receivers: Vec<usize>,
     heard: Vec<Option<Heard>>,
     names: Vec<Name>,
     regions: [Region; 3],
@@ -99,6 +101,7 @@
             ledger: Ledger::new(setting),
             claims: Claims::default(),
             reporter: Reporter::new(setting, name(index), Incarnation(incarnation)),
+            receivers: Vec::new(),
             heard: vec![None; hosts],
             names: (0..hosts).map(name).collect(),
             regions: ["a", "b", "c"].map(Region::from),
