--- a/crates/entry/src/process/gossip/usage.rs
+++ b/crates/entry/src/process/gossip/usage.rs
@@ -9,8 +9,8 @@
 };
 use std::{borrow::Cow, time::Duration};
 
-/// Largest encoded size of the parts that are not the same for all receivers, without the counts.
-const MAX_OTHER_BYTES: usize = 64;
+/// Largest encoded size of the head and of the time of day and claim, which take up to 75 bytes.
+const MAX_OTHER_BYTES: usize = 96;
 /// Least room for the counts in a datagram, in bytes.
 const MIN_COUNTS_BYTES: usize = 512;
 
--- a/crates/entry/src/process/usage/duty.rs
+++ b/crates/entry/src/process/usage/duty.rs
@@ -118,9 +118,8 @@
         self.metrics
             .holder
             .set(i64::from(self.reporter.is_holder()));
-        if let Some(age) = age {
-            self.metrics.accepted_age.set(age.as_secs_f64());
-        }
+        let age = age.map_or(f64::INFINITY, |age| age.as_secs_f64());
+        self.metrics.accepted_age.set(age);
         action
     }
 
