fix(entry): a host that hears nobody goes on sending its counts

Cause: a host whose incoming datagrams are lost had no collectors and sent its counts to nobody. A host that was restarted with an earlier build stayed a collector for as long as it was reachable. Change: such a host sends to the last collectors that it knew. A host without a datagram about usage for 3 s is no collector. Unit tests of the book of counts. Nothing is measured.

--- a/crates/entry/src/process/gossip/usage.rs
+++ b/crates/entry/src/process/gossip/usage.rs
@@ -20,7 +20,7 @@
     wall_ms: u64,
     claim: Claim,
     /// Hosts that get the counts.
-    collectors: Vec<Host>,
+    receivers: Vec<Host>,
     /// Encoded counts of this host.
     counts: Vec<Vec<u8>>,
 }
@@ -31,23 +31,20 @@
         let state = &self.state;
         let book = state.usage.as_ref()?;
         let now = state.now();
-        let collectors = if is_regular {
-            state.collectors(now)
-        } else {
-            Vec::new()
-        };
+        let collectors = state.collectors(now);
         let taken = round.largest_body() + MAX_OTHER_BYTES;
         let room = MAX_DATAGRAM_BYTES.saturating_sub(taken);
         let mut book = book.lock();
         let parts = book.parts(now, room.max(MIN_COUNTS_BYTES));
         let claim = book.claim();
+        let receivers = book.receivers(collectors);
         drop(book);
         // A part consists of numbers, which can always be encoded.
         let encode = |part: &Part| rmp_serde::to_vec(part).ok();
         Some(UsageRound {
             wall_ms: state.dependencies.clock.wall_ms(),
             claim,
-            collectors,
+            receivers: if is_regular { receivers } else { Vec::new() },
             counts: parts.iter().filter_map(encode).collect(),
         })
     }
@@ -67,8 +64,8 @@
         let Ok(usage) = rmp_serde::to_vec(&usage) else {
             return vec![Vec::new()];
         };
-        let is_collector = host.is_some_and(|host| round.collectors.contains(host));
-        if !is_collector || round.counts.is_empty() {
+        let gets_counts = host.is_some_and(|host| round.receivers.contains(host));
+        if !gets_counts || round.counts.is_empty() {
             return vec![usage];
         }
         let counts = round.counts.iter();
--- a/crates/entry/src/process/usage.rs
+++ b/crates/entry/src/process/usage.rs
@@ -26,6 +26,11 @@
 };
 use std::time::Duration;
 
+/// Time without a datagram about usage after which a host is no collector.
+///
+/// A host sends one several times in this time, unless it was restarted with an earlier build.
+const MEMBER_TIMEOUT: Duration = Duration::from_secs(3);
+
 /// What this host counts, and what it knows of the counts of the others.
 #[derive(Debug)]
 pub struct Book {
@@ -35,10 +40,12 @@
     ledger: Ledger,
     clock: Clock,
     claims: Claims,
-    /// Other hosts that report, with the time of their last datagram.
+    /// Other hosts with the time of their last datagram that was about usage.
     ///
-    /// Hosts of builds before usage reports, and those without the section, are not among them.
+    /// Hosts of builds before usage reports, and those without the section, send none.
     members: Map<Host, Instant>,
+    /// Hosts that get the counts of this one.
+    receivers: Vec<Host>,
     /// Claim of this host.
     claim: Claim,
 }
@@ -66,6 +73,7 @@
             clock,
             claims: Claims::default(),
             members: Map::default(),
+            receivers: Vec::new(),
             claim: Claim::default(),
         }
     }
@@ -102,6 +110,17 @@
         parts
     }
 
+    /// Returns the hosts that get the counts of this one, given the present collectors.
+    ///
+    /// A host that hears nobody has none, and goes on sending to the last ones: its own datagrams may
+    /// still arrive.
+    pub(crate) fn receivers(&mut self, collectors: Vec<Host>) -> Vec<Host> {
+        if !collectors.is_empty() {
+            self.receivers = collectors;
+        }
+        self.receivers.clone()
+    }
+
     /// Takes in the parts of another host's datagram that are about usage.
     ///
     /// `steady` is the present time on the clock that stands still while the machine is suspended.
@@ -172,7 +191,9 @@
             path,
         };
         let book = book.lock();
-        let candidates = book.members.keys().filter_map(|host| {
+        let members = book.members.iter();
+        let members = members.filter(|(_, last)| now.since(**last) < MEMBER_TIMEOUT);
+        let candidates = members.filter_map(|(host, _)| {
             Some(Candidate {
                 host,
                 region: &membership.peers.get(host)?.region,
@@ -186,3 +207,6 @@
         collectors.into_iter().cloned().collect()
     }
 }
+
+#[cfg(test)]
+mod tests;
