--- a/crates/core/src/process/usage/action.rs
+++ b/crates/core/src/process/usage/action.rs
@@ -45,6 +45,9 @@
         expected_version: Option<u64>,
     },
     /// Send a report at once, and report the result with [`Reporter::on_sent`](super::Reporter::on_sent).
+    ///
+    /// The body must follow from the report alone. A caller that does not know the name of each of its
+    /// workspaces reports [`Sent::Unanswered`] instead, as a body without them would be another report.
     Send {
         /// Report, to be sent exactly as it is.
         report: Report,
