fix(core): complete collectors write before all others

Change: Claims remembers when lost hosts were heard of last. A collector is incomplete only if a host was lost between the begin of the window and the time from which it collects. Its delay is 2.6 s, so that the third complete collector comes before the first incomplete one.

--- a/crates/core/src/process/usage/claims.rs
+++ b/crates/core/src/process/usage/claims.rs
@@ -6,11 +6,14 @@
     time::Instant,
 };
 use serde::{Deserialize, Serialize};
-use std::time::Duration;
+use std::{collections::VecDeque, time::Duration};
 
 /// Time without a claim after which a host may have stopped.
 const MAX_SILENCE: Duration = Duration::from_secs(2);
 
+/// Number of lost hosts that are remembered; half of a large fleet.
+const MAX_LOSSES: usize = 64;
+
 /// What a host knows of the duty; each datagram carries it.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Claim {
@@ -49,6 +52,8 @@
     merged: Claim,
     /// When the last host was removed or restarted.
     lost: Option<Instant>,
+    /// When lost hosts were heard of last, the latest loss at the back.
+    losses: VecDeque<Instant>,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -70,10 +75,11 @@
         match self.hosts.get_mut(host) {
             Some(known) if known.incarnation > incarnation => {}
             Some(known) => {
-                if known.incarnation < incarnation {
-                    self.lost = Some(now);
-                }
+                let former = *known;
                 *known = heard;
+                if former.incarnation < incarnation {
+                    self.lose(now, former);
+                }
             }
             None => {
                 self.hosts.insert(host.clone(), heard);
@@ -83,11 +89,19 @@
 
     /// Removes a host that no longer runs.
     pub fn forget(&mut self, now: Instant, host: &Host) {
-        if self.hosts.remove(host).is_some() {
-            self.lost = Some(now);
+        if let Some(heard) = self.hosts.remove(host) {
+            self.lose(now, heard);
         }
     }
 
+    fn lose(&mut self, now: Instant, heard: Heard) {
+        self.lost = Some(now);
+        if self.losses.len() == MAX_LOSSES {
+            self.losses.pop_front();
+        }
+        self.losses.push_back(heard.last);
+    }
+
     /// Returns what is known from all claims together.
     pub fn merged(&self) -> Claim {
         self.merged
@@ -100,10 +114,13 @@
         let is_heard = self.hosts.values().all(|heard| heard.last > at);
         is_heard && self.lost.is_none_or(|lost| lost + memory < at)
     }
-    /// Returns whether no host is known to have stopped within `age` before `now`.
-    pub(super) fn is_unbroken(&self, now: Instant, age: Duration) -> bool {
-        let mut hosts = self.hosts.values();
-        let is_heard = hosts.all(|heard| now.since(heard.last) < MAX_SILENCE);
-        is_heard && self.lost.is_none_or(|lost| now.since(lost) > age)
+    /// Returns whether a host was heard of last less than `age` ago and before `until`.
+    ///
+    /// A host that is silent for long counts, as it may have stopped.
+    pub(super) fn has_lost(&self, now: Instant, age: Duration, until: Instant) -> bool {
+        let hosts = self.hosts.values().map(|heard| heard.last);
+        let silent = hosts.filter(|last| now.since(*last) >= MAX_SILENCE);
+        let mut lost = silent.chain(self.losses.iter().copied());
+        lost.any(|last| now.since(last) <= age && last < until)
     }
 }
--- a/crates/core/src/process/usage/reporter.rs
+++ b/crates/core/src/process/usage/reporter.rs
@@ -31,8 +31,8 @@
 const WRITE_TURN_DELAY: Duration = Duration::from_millis(1_200);
 /// Additional delay of a collector that may lack the counts of hosts that stopped.
 ///
-/// It is longer than a turn, and even the third such collector writes before the report is due.
-const INCOMPLETE_DELAY: Duration = Duration::from_millis(1_800);
+/// It is longer than the turns of the others, and two such collectors write before the report is due.
+const INCOMPLETE_DELAY: Duration = Duration::from_millis(2_600);
 /// Delay between the attempts of two collectors to take over a report that was not accepted.
 ///
 /// All have to fit between the earliest takeover and the time at which the report is due, one second.
--- a/crates/core/src/process/usage/reporter/store.rs
+++ b/crates/core/src/process/usage/reporter/store.rs
@@ -120,17 +120,16 @@
 
     /// Returns whether this host should write a new window, as nobody is known to have written it.
     ///
-    /// Only collectors have the counts of hosts that stopped since the begin of the window, so that a
-    /// host that was none then lets the others write first.
+    /// Hosts send their counts to collectors only, so that a host that became one after another host
+    /// stopped may lack counts of that one. It lets the others write first.
     fn is_write_due(&self, now: Moments, time: Time, rank: usize, claims: &Claims) -> bool {
         let delay = turn(rank, WRITE_TURN_DELAY);
         let newest = self.newest(time - delay);
         let age = time.since(newest.begin(&self.setting));
-        let is_older = |since: Instant| now.steady.since(since) >= age;
-        let has_collected = self.collector_since.is_some_and(is_older);
         // The counts of an earlier incarnation of this host may be missing too.
-        let has_run = self.started.is_some_and(is_older);
-        let newest = if has_collected || (has_run && claims.is_unbroken(now.steady, age)) {
+        let has_run = self.started.is_some_and(|at| now.steady.since(at) >= age);
+        let collects_from = self.collector_since.unwrap_or(now.steady) + COLLECT_TIME;
+        let newest = if has_run && !claims.has_lost(now.steady, age, collects_from) {
             newest
         } else {
             self.newest(time - delay - INCOMPLETE_DELAY)
