fix(platform): the section of usage reports comes from its one place

Cause: the template rendered the section from two places, since it was not known which of them the platform fills in; two sections of one name had to be told apart.

--- a/crates/entry/src/setting/tests.rs
+++ b/crates/entry/src/setting/tests.rs
@@ -49,9 +49,7 @@
 #[test_case(&["usage"], true; "without a name")]
 #[test_case(&["usage usage_report"], true; "the only duty")]
 #[test_case(&["usage other", "usage usage_report", "usage third"], true; "one of several duties")]
-#[test_case(&["usage cloud_api usage_report"], true; "in a table of its own")]
-#[test_case(&["usage usage_report", "usage cloud_api usage_report"], true; "in both places")]
-#[test_case(&["usage other", "usage cloud_api other"], false; "another duty")]
+#[test_case(&["usage other"], false; "another duty")]
 fn usage_is_reported_only_with_its_section(headers: &[&str], expected: bool) {
     let sections = headers.iter().map(|it| format!("[{it}]\n{USAGE}"));
     let text = TEXT.to_owned() + &sections.collect::<String>();
--- a/crates/entry/src/setting/usage.rs
+++ b/crates/entry/src/setting/usage.rs
@@ -25,8 +25,6 @@
 /// Returns whether a section with this name is about a duty other than usage reports.
 ///
 /// The template renders one section for each duty that the platform names; the duty is the last word.
-/// The table of the duties may stand inside that of the platform or beside it, and has a section with
-/// another name in each place, because a settings file must not have two sections of the same name.
 pub(super) fn is_other_duty(name: &str) -> bool {
     name.split_whitespace()
         .last()
