feat(core): expected times follow the speed that servers tell

Cause: at any moment some servers take 2.5 times as long, and nothing reads that signal; what was learned of work and of servers mixes slow periods with cold caches and slow machines. Change: the adapter decodes the header with the load (Format::load), with an optional fourth figure; a value that cannot be read is no report and is counted. placement::speed keeps the last figure of each server and learns, for each service, the mean, the spread and how long a figure keeps its value. Expected time and wait use the expected figure, learned work and relative time are corrected by it. Log lines have speed and speed-age-ms. placement::check decides on a health check before a send; nothing makes one yet.

--- a/crates/core/src/version/placement/entry.rs
+++ b/crates/core/src/version/placement/entry.rs
@@ -1,6 +1,6 @@
 //! State of one backend server as observed by a host.
 
-use super::{DEFAULT_HIT_PROBABILITY, Load, Query, Verdict};
+use super::{DEFAULT_HIT_PROBABILITY, Load, Query, Verdict, check::Check, speed::Speed};
 use crate::{
     process::{senders::Limiter, warmup},
     version::{balance::Tier, limit::Limit},
@@ -88,6 +88,10 @@
     /// Requests that this host has sent since the reported load.
     sent_since: u32,
     relative_time: f64,
+    /// Speed that the server told last.
+    pub(super) speed: Speed,
+    /// Health checks before requests are sent to it.
+    pub(super) check: Check,
     failure: (Instant, f64),
     backoff: Option<(Instant, Duration)>,
     /// When this process of the server was first heard to be leaving.
@@ -129,6 +133,8 @@
             reported: None,
             sent_since: 0,
             relative_time: 1.0,
+            speed: Speed::default(),
+            check: Check::default(),
             failure: (now, 0.0),
             backoff: None,
             leaving: None,
--- a/crates/core/src/version/placement/mod.rs
+++ b/crates/core/src/version/placement/mod.rs
@@ -9,14 +9,18 @@
 //! the higher the cost of an avoidable cache miss.
 
 mod absence;
+mod check;
 mod entry;
 mod estimate;
 mod limited;
+mod speed;
 mod unlisted;
 
 pub use crate::version::balance::Tier;
+pub use check::Finding;
 pub use entry::Backend;
 pub use estimate::Work;
+pub use speed::{Figure, Report};
 
 use absence::Leave;
 use azurenotch_wire::{
@@ -26,6 +30,7 @@
     time::Instant,
 };
 use entry::Entry;
+use speed::Persistence;
 use std::time::Duration;
 use unlisted::Unlisted;
 
@@ -103,6 +108,10 @@
     pub hit_probability: f64,
     /// Age of the load that the server reported last; `None` if it has reported none.
     pub load_age: Option<Duration>,
+    /// Speed that the server told last; `None` if it tells none.
+    pub figure: Option<Figure>,
+    /// Time that the work is expected to take because of the speed, as a multiple of the usual.
+    pub slowness: f64,
 }
 
 /// Outcome of an attempt for the assessment of the backend server.
@@ -154,6 +163,8 @@
     unlisted: Map<Server, Unlisted>,
     /// Processes, by server, that have named a limit that cannot be read.
     unreadable_limits: Map<Server, u64>,
+    /// What is known of the speed that servers tell.
+    persistence: Persistence,
 }
 
 impl Placement {
@@ -172,6 +183,7 @@
             drain: Duration::ZERO,
             unlisted: Map::default(),
             unreadable_limits: Map::default(),
+            persistence: Persistence::default(),
         }
     }
 
@@ -236,7 +248,7 @@
 
     /// Returns the estimated work on an object that is not cached, in seconds.
     pub fn cold_work(&self, route: u32) -> f64 {
-        self.estimates(route).cold()
+        self.estimates(route).cold() * self.persistence.mean()
     }
 
     fn estimates(&self, route: u32) -> Work {
@@ -273,7 +285,7 @@
 
     /// Returns the average work of requests, in seconds.
     pub fn average_work(&self, route: u32) -> f64 {
-        self.estimates(route).average()
+        self.estimates(route).average() * self.persistence.mean()
     }
 
     /// Returns the slots of the servers in this host's region that run a version, or any version.
@@ -352,6 +364,7 @@
         let rtt = entry.rtt().as_secs_f64();
         entry.end(now, verdict);
         let served = (latency.as_secs_f64() - rtt - choice.wait.as_secs_f64()).max(0.001);
+        let served = served / speed::during(now, served, choice, &entry.speed, &self.persistence);
         let work = self.work.entry(choice.route);
         let work = work.or_insert_with(|| Work::new(self.objective));
         // The time is compared with the average of all answers, not with the expected time: while
@@ -451,8 +464,12 @@
         hit_probability: f64,
     ) -> Choice {
         let entry = &self.entries[index];
+        let arrival = now + entry.rtt() / 2;
         let wait = entry.wait(now, work.average()) * entry.slowdown();
-        let work = work.expected(hit_probability) * entry.slowdown();
+        let wait = wait * entry.speed.expected(arrival, &self.persistence);
+        let begin = arrival + Duration::from_secs_f64(wait);
+        let slowness = entry.speed.expected(begin, &self.persistence);
+        let work = work.expected(hit_probability) * entry.slowdown() * slowness;
         Choice {
             index,
             route,
@@ -460,6 +477,8 @@
             wait: Duration::from_secs_f64(wait),
             hit_probability,
             load_age: entry.load_age(now),
+            figure: entry.speed.figure(now),
+            slowness,
         }
     }
 
--- a/crates/core/src/version/placement/tests.rs
+++ b/crates/core/src/version/placement/tests.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 use test_case::test_case;
 
-const OBJECTIVE: Duration = Duration::from_millis(500);
+pub(super) const OBJECTIVE: Duration = Duration::from_millis(500);
 
 fn backend(number: usize, tier: Tier) -> Backend {
     let region = if tier == Tier::Remote { "far" } else { "near" };
@@ -23,7 +23,7 @@
     }
 }
 
-fn placement(near: usize, far: usize) -> Placement {
+pub(super) fn placement(near: usize, far: usize) -> Placement {
     let mut placement = Placement::new(10.0, OBJECTIVE);
     for number in 0..near {
         placement.insert(Instant::ZERO, &backend(number, Tier::Local));
@@ -48,7 +48,7 @@
     }
 }
 
-fn choose(placement: &mut Placement, now: Instant, object: u64) -> Choice {
+pub(super) fn choose(placement: &mut Placement, now: Instant, object: u64) -> Choice {
     placement
         .choose(now, &query(object))
         .expect("a server is free")
--- a/crates/entry/src/platform.rs
+++ b/crates/entry/src/platform.rs
@@ -6,7 +6,7 @@
     protocol::Protocol,
 };
 use async_trait::async_trait;
-use azurenotch_core::{process::suspect::Report, request::identity::Identity};
+use azurenotch_core::{process::suspect::Report, request::identity::Identity, version::placement};
 use azurenotch_wire::id::{Host, Service};
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
@@ -153,6 +153,9 @@
     /// Returns the headers, paths and query fields.
     fn protocol(&self) -> &Protocol;
 
+    /// Decodes the value of the header with the load of a backend server; `None` if it is malformed.
+    fn load(&self, value: &str) -> Option<placement::Report>;
+
     /// Returns the body of an answer to a look-up, and its content type.
     fn look_up(&self, addresses: &[SocketAddr], lifetime: Duration) -> (Vec<u8>, &'static str);
 }
--- a/crates/entry/src/process/metrics.rs
+++ b/crates/entry/src/process/metrics.rs
@@ -26,6 +26,7 @@
     change_age: HistogramVec,
     accepted: IntCounterVec,
     server_limits: IntCounterVec,
+    reports: Reports,
     suspects: Suspects,
     limited_sends: IntCounterVec,
     limited_servers: IntGaugeVec,
@@ -66,6 +67,24 @@
     }
 }
 
+/// Metrics about what backend servers report about themselves.
+#[derive(Debug)]
+struct Reports {
+    malformed: IntCounterVec,
+}
+
+impl Reports {
+    fn new(new: &Factory<'_>) -> Result<Self, Error> {
+        Ok(Self {
+            malformed: new.counters(
+                "azurenotch_entry_malformed_loads_total",
+                "Answers of backend servers with a load that cannot be read, by service",
+                &["service"],
+            )?,
+        })
+    }
+}
+
 impl Metrics {
     /// Creates and registers the metrics.
     ///
@@ -111,6 +130,7 @@
                 "Statements of backend servers about their limit, by service and event",
                 &["service", "event"],
             )?,
+            reports: Reports::new(&new)?,
             suspects: Suspects::new(&new)?,
             follows: new.gauges(
                 "azurenotch_entry_follows_store",
@@ -238,6 +258,12 @@
             .inc();
     }
 
+    /// Counts an answer of a backend server with a load that cannot be read.
+    pub fn count_malformed_load(&self, service: &str) {
+        let malformed = &self.reports.malformed;
+        malformed.with_label_values(&[service]).inc();
+    }
+
     /// Counts a call to the store.
     pub fn count_store_call(&self, subject: &str, result: &str) {
         self.store.with_label_values(&[subject, result]).inc();
--- a/crates/entry/src/protocol.rs
+++ b/crates/entry/src/protocol.rs
@@ -23,7 +23,9 @@
     pub leaving: HeaderName,
     /// Header with the requests per second that a backend server takes from all hosts together.
     pub limit: HeaderName,
-    /// Header with the load of a backend server: running and waiting requests, and slots.
+    /// Header with the load of a backend server, see [`Format::load`].
+    ///
+    /// [`Format::load`]: crate::platform::Format::load
     pub load: HeaderName,
     /// Header with the id of the answering backend server.
     pub server: HeaderName,
--- a/crates/entry/src/request/attempt.rs
+++ b/crates/entry/src/request/attempt.rs
@@ -16,7 +16,7 @@
         identity::{Identity, Key, Parts},
         pause,
     },
-    version::placement::{Choice, Load, Verdict},
+    version::placement::{Choice, Verdict},
 };
 use azurenotch_wire::{
     id::{Region, Release, Server, Service},
@@ -218,7 +218,7 @@
     permit.begin(attempt.sent);
     match exchange(state, job, target, lease, attempt.sent).await {
         Exchanged::Head(response, lease) => {
-            observe_load(state, target, response.headers());
+            observe_report(state, target, response.headers());
             let status = response.status();
             let protocol = state.dependencies.format.protocol();
             let pauses = observe_pause(state, target, &response);
@@ -488,26 +488,20 @@
     true
 }
 
-/// Records the load that the server reported in the header of its answer, if any.
-fn observe_load(state: &State, target: &Target, headers: &HeaderMap) {
-    let value = headers.get(&state.dependencies.format.protocol().load);
-    let Some(text) = value.and_then(|value| value.to_str().ok()) else {
+/// Records what the server reported about itself in the header of its answer, if anything.
+fn observe_report(state: &State, target: &Target, headers: &HeaderMap) {
+    let format = &state.dependencies.format;
+    let Some(value) = headers.get(&format.protocol().load) else {
         return;
     };
-    let mut numbers = text.split(',').map(|number| number.trim().parse::<u32>());
-    let (Some(Ok(running)), Some(Ok(waiting)), Some(Ok(slots))) =
-        (numbers.next(), numbers.next(), numbers.next())
-    else {
+    let Some(report) = value.to_str().ok().and_then(|it| format.load(it)) else {
+        let metrics = &state.metrics;
+        metrics.count_malformed_load(target.service.as_str());
         return;
     };
-    let load = Load {
-        running,
-        waiting,
-        slots,
-    };
     if let Some(fleet) = state.fleets.lock().get_mut(&target.service) {
         let placement = &mut fleet.placement;
-        placement.observe_load(state.now(), target.choice.index, load);
+        placement.observe_report(state.now(), target.choice.index, &report);
     }
 }
 
--- a/crates/entry/src/request/forward.rs
+++ b/crates/entry/src/request/forward.rs
@@ -18,7 +18,7 @@
 use azurenotch_core::{
     request::admission::{self, Decision, Estimate},
     version::{
-        placement::{Choice, Placement, Query},
+        placement::{Choice, Figure, Placement, Query},
         spill,
     },
 };
@@ -73,6 +73,8 @@
     pub(crate) hit_probability: f64,
     /// Age of the load that the server reported last; `None` if it has reported none.
     pub(crate) load_age: Option<Duration>,
+    /// Speed that the server told last; `None` if it tells none.
+    pub(crate) figure: Option<Figure>,
     /// Requests per second that the server takes from all hosts; `None` without a limit.
     pub(crate) limit: Option<f64>,
 }
@@ -393,6 +395,7 @@
             estimate,
             hit_probability: choice.hit_probability,
             load_age: choice.load_age,
+            figure: choice.figure,
             limit: fleet.placement.limit(now, choice.index),
         });
         if let Decision::Refuse(wait) = admission::decide(&estimate, random()) {
--- a/crates/entry/src/request/handler.rs
+++ b/crates/entry/src/request/handler.rs
@@ -284,6 +284,7 @@
         let metrics = &self.state.metrics;
         metrics.count_answer(&self.route, status, reason, latency);
         let candidate = outcome.candidate.as_ref();
+        let figure = candidate.and_then(|candidate| candidate.figure);
         let left_us = |time: Duration| time.as_micros() as i64 - latency.as_micros() as i64;
         let estimate = candidate.map(|candidate| &candidate.estimate);
         let line = o!(
@@ -309,6 +310,8 @@
             "rank" => estimate.map(|estimate| estimate.rank),
             "warm" => candidate.map(|candidate| candidate.hit_probability),
             "load-age-ms" => candidate.and_then(|candidate| candidate.load_age).map(ms),
+            "speed" => figure.map(|figure| (figure.factor * 100.0).round() as u64),
+            "speed-age-ms" => figure.map(|figure| ms(figure.age)),
             "limit-per-s" => candidate.and_then(|candidate| candidate.limit),
         );
         // The journal limits warnings separately, so successful requests cannot push out failures.
