feat(model): a deployment whose servers are slow for a moment

Cause: no deployment of the model has servers whose speed changes within a second, or requests that take much longer than others. Change: the deployment uneven (30 hosts, 282 servers of six slots, 15 in 100 of them 2.5 times slower, drawn anew every 600 ms), servers that tell the figure, hosts that pass figures on and check servers before a send; variants no-speed and no-checks.

--- a/crates/model/src/engine.rs
+++ b/crates/model/src/engine.rs
@@ -3,6 +3,7 @@
 mod caller;
 mod disturbance;
 mod outcome;
+mod speed;
 
 use crate::{
     event::{Event, Queue, Send},
@@ -69,6 +70,8 @@
     tried: Vec<usize>,
     declined: usize,
     runs: u32,
+    /// Whether a health check was made in the current attempt.
+    is_checked: bool,
     current: Option<Send>,
     ended: bool,
 }
@@ -130,6 +133,7 @@
             shift: 0.0,
         };
         engine.update_listings();
+        engine.schedule_periods();
         engine.queue.push(Instant::ZERO, Event::NextRequest);
         for host in 0..engine.hosts.len() {
             let first = GOSSIP_INTERVAL.mul_f64(engine.random.random());
@@ -173,12 +177,15 @@
             Event::SendEnded {
                 send,
                 verdict,
-                load,
+                report,
                 limit,
             } => {
                 self.hear_limit(send, verdict, limit);
-                self.receive_outcome(send, verdict, load);
+                self.receive_outcome(send, verdict, report);
             }
+            Event::Check(check) => self.answer_check(check),
+            Event::CheckEnded { check, report } => self.end_check(check, report),
+            Event::Period { server } => self.begin_period(server),
             Event::Expire { send } => self.expire(send),
             Event::Gossip { host } => self.gossip(host),
             Event::List => self.update_listings(),
@@ -199,6 +206,7 @@
         it.attempt_deadline = it.gives_up_at.min(now + self.site.timeout);
         it.tried.clear();
         it.declined = 0;
+        it.is_checked = false;
         let host_state = &mut self.hosts[host];
         host_state.budget.record_request(now);
         host_state.spill.count(now);
@@ -229,8 +237,17 @@
             self.refuse(request, wait);
             return;
         }
-        let object = it.object.filter(|_| self.variant.affinity);
-        let server = own.server(&choice);
+        if !self.begin_check(request, host, choice) {
+            self.send(request, host, choice);
+        }
+    }
+
+    /// Sends a request to the chosen server.
+    fn send(&mut self, request: usize, host: usize, choice: Choice) {
+        let now = self.now;
+        let object = self.requests[request].object;
+        let object = object.filter(|_| self.variant.affinity);
+        let server = self.hosts[host].server(&choice);
         let one_way_delay = self.one_way_delay(host, server);
         let send = Send {
             request,
@@ -243,14 +260,17 @@
         it.current = Some(send);
         it.tried.push(choice.index);
         let until = it.attempt_deadline;
-        if now.since(Instant::ZERO).as_secs_f64() >= self.pattern.counted_from_s {
-            self.report.sends += 1;
-        }
+        self.report.sends += u64::from(self.is_counted());
         self.queue
             .push(now + one_way_delay, Event::Offer { server, send });
         self.queue.push(until, Event::Expire { send });
     }
 
+    /// Returns whether the totals count what happens now.
+    fn is_counted(&self) -> bool {
+        self.now.since(Instant::ZERO).as_secs_f64() >= self.pattern.counted_from_s
+    }
+
     /// Returns the server at which a request costs least, given the queues and caches of all servers.
     ///
     /// The cost is the time to the answer. Work that a cached object would save takes capacity from
@@ -343,12 +363,12 @@
                 Acceptance::Declined => (now + one_way_delay, Verdict::Shed),
             },
         };
-        let load = (verdict == Verdict::Shed).then(|| self.servers[server].load());
-        let limit = load.and_then(|_| self.servers[server].arrivals.limit());
+        let report = (verdict == Verdict::Shed).then(|| self.report_of(server));
+        let limit = report.and_then(|_| self.servers[server].arrivals.limit());
         let ended = Event::SendEnded {
             send,
             verdict,
-            load,
+            report,
             limit,
         };
         self.queue.push(at, ended);
@@ -369,7 +389,7 @@
             };
             self.queue.push(now + took, event);
         }
-        let load = Some(self.servers[server].load());
+        let report = Some(self.report_of(server));
         let limit = self.servers[server].arrivals.limit();
         let at = now + self.one_way_delay(send.host, server);
         let verdict = Verdict::Answered;
@@ -378,7 +398,7 @@
             Event::SendEnded {
                 send,
                 verdict,
-                load,
+                report,
                 limit,
             },
         );
@@ -395,6 +415,11 @@
         } else {
             Vec::new()
         };
+        let figures = if self.variant.gossip {
+            self.figures(host)
+        } else {
+            Vec::new()
+        };
         let (name, region) = (
             self.hosts[host].name.clone(),
             self.hosts[host].region.clone(),
@@ -414,6 +439,9 @@
                 let server = hash32(server.as_str());
                 other.placement.receive_load(now, server, *load);
             }
+            for (server, figure) in &figures {
+                other.placement.receive_figure(now, *server, *figure);
+            }
         }
     }
 }
--- a/crates/model/src/engine/caller.rs
+++ b/crates/model/src/engine/caller.rs
@@ -40,6 +40,7 @@
             tried: Vec::new(),
             declined: 0,
             runs: 0,
+            is_checked: false,
             current: None,
             ended: false,
         });
@@ -92,6 +93,10 @@
         // The sum of twelve uniform numbers is nearly normal, with mean 6 and deviation 1.
         let sum: f64 = (0..12).map(|_| self.random.random::<f64>()).sum();
         let factor = 1.0 + self.site.work_deviation * (sum - 6.0);
-        self.site.work.as_secs_f64() * factor.max(0.1)
+        let tail = self.site.tail.map_or(1.0, |tail| {
+            let is_long = self.random.random_bool(tail.share);
+            if is_long { tail.factor } else { 1.0 }
+        });
+        self.site.work.as_secs_f64() * factor.max(0.1) * tail
     }
 }
--- a/crates/model/src/engine/disturbance.rs
+++ b/crates/model/src/engine/disturbance.rs
@@ -96,7 +96,7 @@
                 let ended = Event::SendEnded {
                     send,
                     verdict: Verdict::Failed,
-                    load: None,
+                    report: None,
                     limit: None,
                 };
                 self.queue.push(at, ended);
--- a/crates/model/src/engine/outcome.rs
+++ b/crates/model/src/engine/outcome.rs
@@ -6,7 +6,7 @@
     request::admission,
     version::{
         limit::Statement,
-        placement::{Load, Verdict},
+        placement::{Report, Verdict},
     },
 };
 use azurenotch_wire::time::Instant;
@@ -15,7 +15,7 @@
 
 impl Engine<'_> {
     /// Records the outcome of a send at its host, which answers, retries or refuses the request.
-    pub(super) fn receive_outcome(&mut self, send: Send, verdict: Verdict, load: Option<Load>) {
+    pub(super) fn receive_outcome(&mut self, send: Send, verdict: Verdict, report: Option<Report>) {
         let now = self.now;
         let it = &mut self.requests[send.request];
         if it.ended || it.current != Some(send) {
@@ -23,8 +23,9 @@
         }
         it.current = None;
         let own = &mut self.hosts[send.host];
-        if let Some(load) = load {
-            own.placement.observe_load(now, send.choice.index, load);
+        if let Some(report) = report {
+            own.placement
+                .observe_report(now, send.choice.index, &report);
         }
         let took = now.since(send.at);
         own.placement.end(now, &send.choice, verdict, took);
--- a/crates/model/src/event.rs
+++ b/crates/model/src/event.rs
@@ -1,7 +1,7 @@
 //! Event queue of the simulation, ordered by virtual time.
 
 use crate::pattern::Disturbance;
-use azurenotch_core::version::placement::{Choice, Load, Verdict};
+use azurenotch_core::version::placement::{Choice, Report, Verdict};
 use azurenotch_wire::time::Instant;
 use std::{
     cmp::{Ordering, Reverse},
@@ -21,6 +21,19 @@
     pub at: Instant,
 }
 
+/// Health check of a backend server before a request is sent there.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Check {
+    /// Number of the request.
+    pub request: usize,
+    /// Host that makes it.
+    pub host: usize,
+    /// Number of the server.
+    pub server: usize,
+    /// Server that the host chose, with the expected latency.
+    pub choice: Choice,
+}
+
 /// Event of the simulation.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Event {
@@ -55,8 +68,8 @@
         send: Send,
         /// Outcome of the send.
         verdict: Verdict,
-        /// Load that the server reported with its answer or refusal; `None` if it sent neither.
-        load: Option<Load>,
+        /// What the server reported with its answer or refusal; `None` if it sent neither.
+        report: Option<Report>,
         /// Limit that the server named in its answer; `None` if it named none.
         limit: Option<f64>,
     },
@@ -65,6 +78,20 @@
         /// The send.
         send: Send,
     },
+    /// A health check before a send arrives at a backend server.
+    Check(Check),
+    /// A health check before a send has ended at its host.
+    CheckEnded {
+        /// The health check.
+        check: Check,
+        /// What the server reported; `None` if it did not answer in time.
+        report: Option<Report>,
+    },
+    /// The speed of a server is drawn anew.
+    Period {
+        /// The server.
+        server: usize,
+    },
     /// A host sends its loads and request rate to the other hosts.
     Gossip {
         /// The host.
--- a/crates/model/src/report.rs
+++ b/crates/model/src/report.rs
@@ -51,6 +51,8 @@
     pub failed: u64,
     /// Sends to backend servers.
     pub sends: u64,
+    /// Health checks before sends.
+    pub checks: u64,
     /// Latency of answers in milliseconds.
     pub latency: Histogram<u64>,
     /// What servers that named a limit got.
@@ -71,6 +73,7 @@
             refused: 0,
             failed: 0,
             sends: 0,
+            checks: 0,
             latency: latency.expect("the bounds are valid"),
             limits: Usage::default(),
             seconds: Vec::new(),
@@ -115,6 +118,7 @@
         self.refused += other.refused;
         self.failed += other.failed;
         self.sends += other.sends;
+        self.checks += other.checks;
         self.latency += &other.latency;
         self.limits.add(&other.limits);
         if self.seconds.len() < other.seconds.len() {
@@ -157,7 +161,7 @@
         let quantile = |it: f64| self.latency.value_at_quantile(it);
         write!(
             f,
-            "{:>7.3} {:>7.3} {:>7.1} {:>6.1} {:>8.1} {:>7.1} {:>7.2} {:>7} {:>7} {:>7} {:>7.2} {:>7.2}",
+            "{:>7.3} {:>7.3} {:>7.1} {:>6.1} {:>8.1} {:>7.1} {:>7.2} {:>7} {:>7} {:>7} {:>7.2} {:>7.2} {:>7.2}",
             self.served(),
             self.worst(),
             share(self.in_time),
@@ -170,6 +174,7 @@
             quantile(0.99),
             self.limits.worst,
             self.limits.sent / self.limits.taken.max(1.0),
+            self.checks as f64 / (self.asked() as f64).max(1.0),
         )
     }
 }
@@ -177,5 +182,5 @@
 /// Header of the columns that [`Report`] prints.
 ///
 /// `bound` is the largest share of the requests in 4 s that a named limit allows, `used` the share of
-/// the limits that was used.
-pub const HEADER: &str = " served   worst in-time%  late% refused% failed%   sends  p50 ms  p90 ms  p99 ms   bound    used";
+/// the limits that was used, `checks` the number of health checks before sends for each request.
+pub const HEADER: &str = " served   worst in-time%  late% refused% failed%   sends  p50 ms  p90 ms  p99 ms   bound    used  checks";
--- a/crates/model/src/server.rs
+++ b/crates/model/src/server.rs
@@ -51,6 +51,8 @@
     pub epoch: u32,
     /// Factor of all processing times.
     pub slowness: f64,
+    /// Factor of all processing times in the current period.
+    pub period_factor: f64,
     /// Sends that have arrived since the counted start of the run, with the limits.
     pub arrivals: Arrivals,
     site: Site,
@@ -69,6 +71,7 @@
             availability: Availability::Up,
             epoch: 0,
             slowness: 1.0,
+            period_factor: 1.0,
             arrivals: Arrivals::default(),
             site: *site,
             cold_until: Instant::ZERO,
@@ -87,6 +90,16 @@
         }
     }
 
+    /// Returns whether the server is up.
+    pub fn is_up(&self) -> bool {
+        self.availability == Availability::Up
+    }
+
+    /// Returns the present factor of all processing times, which the server tells as its speed.
+    pub fn factor(&self) -> f64 {
+        self.slowness * self.period_factor
+    }
+
     /// Returns whether the object is cached.
     pub fn is_cached(&self, object: Option<u64>) -> bool {
         object.is_some_and(|object| self.cached.contains(&object))
@@ -110,7 +123,7 @@
         } else {
             1.0
         };
-        work * saved * cold * self.slowness
+        work * saved * cold * self.factor()
     }
 
     /// Starts a job in a free slot and returns how long it takes.
--- a/crates/model/src/site.rs
+++ b/crates/model/src/site.rs
@@ -15,6 +15,26 @@
     pub callers: f64,
 }
 
+/// Periods in which backend servers are slow, which each server tells as its speed.
+#[derive(Debug, Clone, Copy)]
+pub struct Periods {
+    /// Time after which the speed of a server is drawn anew.
+    pub length: Duration,
+    /// Share of slow periods, in 0..=1.
+    pub slow_share: f64,
+    /// Factor of the processing time in a slow period.
+    pub slow_factor: f64,
+}
+
+/// Requests that take much longer than the others.
+#[derive(Debug, Clone, Copy)]
+pub struct Tail {
+    /// Share of these requests, in 0..=1.
+    pub share: f64,
+    /// Factor of their processing time.
+    pub factor: f64,
+}
+
 /// Deployment with one service.
 #[derive(Debug, Clone, Copy)]
 pub struct Site {
@@ -42,6 +62,10 @@
     pub work: Duration,
     /// Standard deviation of the processing time as a share of its mean.
     pub work_deviation: f64,
+    /// Requests that take much longer; `None` if there are none.
+    pub tail: Option<Tail>,
+    /// Slow periods of the servers; `None` if their speed is constant and they do not tell it.
+    pub periods: Option<Periods>,
     /// Share of the processing time that a cached object saves.
     pub warm_saving: f64,
     /// Latency objective.
@@ -109,6 +133,8 @@
     rate: 369.0,
     work: Duration::from_millis(640),
     work_deviation: 0.15,
+    tail: None,
+    periods: None,
     warm_saving: 0.7,
     objective: Duration::from_millis(500),
     timeout: Duration::from_secs(2),
@@ -193,5 +219,48 @@
     ..WIDE
 };
 
+/// Number of hosts in each data centre of [`UNEVEN`].
+const UNEVEN_HOSTS: u32 = 5;
+
+const fn uneven_centre(region: &'static str, servers: u32) -> Centre {
+    Centre {
+        region,
+        hosts: UNEVEN_HOSTS,
+        servers,
+        callers: 1.0 / 6.0,
+    }
+}
+
+/// Many small caches, a region with a tenth of the servers and a third of the callers, and servers
+/// that are slow for a short time.
+const UNEVEN: Site = Site {
+    name: "uneven",
+    centres: &[
+        uneven_centre("north", 14),
+        uneven_centre("north", 14),
+        uneven_centre("middle", 58),
+        uneven_centre("middle", 58),
+        uneven_centre("south", 69),
+        uneven_centre("south", 69),
+    ],
+    slots: 6,
+    queue: 18,
+    warm_objects: 17,
+    objects: 50,
+    rate: 900.0,
+    work: Duration::from_millis(1_100),
+    tail: Some(Tail {
+        share: 0.03,
+        factor: 7.0,
+    }),
+    periods: Some(Periods {
+        length: Duration::from_millis(600),
+        slow_share: 0.15,
+        slow_factor: 2.5,
+    }),
+    objective: Duration::from_millis(800),
+    ..WIDE
+};
+
 /// All sites.
-pub const SITES: [Site; 4] = [WIDE, NARROW, SINGLE, PLAIN];
+pub const SITES: [Site; 5] = [WIDE, NARROW, SINGLE, PLAIN, UNEVEN];
--- a/crates/model/src/variant.rs
+++ b/crates/model/src/variant.rs
@@ -21,6 +21,10 @@
     pub gossip: bool,
     /// Whether hosts keep to the limits that servers name.
     pub limits: bool,
+    /// Whether hosts read the speed that servers tell.
+    pub speed: bool,
+    /// Whether hosts ask servers for their speed before they send requests.
+    pub checks: bool,
     /// Whether the server is chosen with full knowledge of the queues and caches of all servers.
     pub knowing: bool,
 }
@@ -44,11 +48,13 @@
     spill: true,
     gossip: true,
     limits: true,
+    speed: true,
+    checks: true,
     knowing: false,
 };
 
 /// All variants; the first one has the decisions of the daemon.
-pub const VARIANTS: [Variant; 8] = [
+pub const VARIANTS: [Variant; 10] = [
     PRESENT,
     Variant {
         name: "no-affinity",
@@ -86,9 +92,22 @@
         limits: false,
         ..PRESENT
     },
+    Variant {
+        name: "no-speed",
+        description: "hosts do not read the speed that servers tell",
+        speed: false,
+        ..PRESENT
+    },
+    Variant {
+        name: "no-checks",
+        description: "hosts do not ask servers for their speed before a send",
+        checks: false,
+        ..PRESENT
+    },
     Variant {
         name: "knowing",
         description: "full knowledge of queues and caches at the moment of the choice",
+        checks: false,
         knowing: true,
         ..PRESENT
     },
--- a/crates/model/tests/pattern.rs
+++ b/crates/model/tests/pattern.rs
@@ -7,6 +7,7 @@
     site::{SITES, Site},
     variant::{VARIANTS, Variant},
 };
+use std::time::Duration;
 use test_case::test_case;
 
 /// Seeds of each comparison.
@@ -116,3 +117,21 @@
     assert!(present.worst <= 1.0, "{present:?}");
     assert!(present.sent >= 0.4 * present.taken, "{present:?}");
 }
+
+/// Guards against figures and health checks without effect: where servers are slow for a moment and
+/// tell it, more must be served in time than if hosts ignore the figure, or do not ask for it.
+#[test_case("no-checks", "no-speed", 0.015; "figures are ignored")]
+#[test_case("present", "no-checks", 0.005; "figures are not asked for")]
+fn slow_periods_are_avoided(with: &str, without: &str, least_gain: f64) {
+    let site = site("uneven");
+    let calm = Pattern {
+        counted_from_s: 5.0,
+        length: Duration::from_secs(12),
+        ..*pattern("calm")
+    };
+    let run = |name| Engine::new(site, &calm, variant(name), 1).run();
+    let [with, without] = [with, without].map(run);
+    println!("{with}\n{without}");
+    let gain = with.served() - without.served();
+    assert!(gain > least_gain, "{gain}");
+}
