feat(entry): a server whose speed is unknown is asked before a send

Cause: a figure says something for a fraction of a second only, and most servers get a request less often than that. Change: where figures differ by more than 15 in 100, the host asks the chosen server of its region on the connection of the request, if the expected gain exceeds a round trip and 3 ms. If it is slow or full, the choice is made once more with the same selection of the version; otherwise, and if there is no answer within 30 ms, the request goes there. A connection whose answer was not read to its end closes. One check for each server at a time, none for 100 ms after it. azurenotch_entry_checks_total counts the results. Before a send, everything that counts it (retries, slew, limits, placement) is as before.

--- a/crates/entry/src/connection/pool.rs
+++ b/crates/entry/src/connection/pool.rs
@@ -266,6 +266,11 @@
         &self.pool
     }
 
+    /// Returns whether the connection can carry another request, once it knows.
+    pub async fn is_ready(&mut self) -> bool {
+        self.connection.sender.ready().await.is_ok()
+    }
+
     /// Returns the connection to its pool, which keeps it idle for at most `keep_alive`.
     ///
     /// Closes it instead if the server has closed it or reuse is disabled.
--- a/crates/entry/src/process/metrics.rs
+++ b/crates/entry/src/process/metrics.rs
@@ -71,6 +71,7 @@
 #[derive(Debug)]
 struct Reports {
     malformed: IntCounterVec,
+    checks: IntCounterVec,
 }
 
 impl Reports {
@@ -81,6 +82,11 @@
                 "Answers of backend servers with a load that cannot be read, by service",
                 &["service"],
             )?,
+            checks: new.counters(
+                "azurenotch_entry_checks_total",
+                "Health checks of backend servers before sends, by service and result",
+                &["service", "result"],
+            )?,
         })
     }
 }
@@ -258,6 +264,12 @@
             .inc();
     }
 
+    /// Counts a health check of a backend server before a send.
+    pub fn count_check(&self, service: &str, result: &str) {
+        let checks = &self.reports.checks;
+        checks.with_label_values(&[service, result]).inc();
+    }
+
     /// Counts an answer of a backend server with a load that cannot be read.
     pub fn count_malformed_load(&self, service: &str) {
         let malformed = &self.reports.malformed;
--- a/crates/entry/src/process/probe.rs
+++ b/crates/entry/src/process/probe.rs
@@ -5,7 +5,10 @@
     process::{server_limit::Process, state::State},
     request::head,
 };
-use azurenotch_wire::id::{Server, Service};
+use azurenotch_wire::{
+    id::{Server, Service},
+    time::Instant,
+};
 use bytes::Bytes;
 use http::{HeaderMap, Request, StatusCode, header};
 use http_body_util::Full;
@@ -81,26 +84,18 @@
         let Ok(Some((code, headers))) = timeout(CHECK_TIMEOUT, self.send(&state)).await else {
             return;
         };
-        let protocol = state.dependencies.format.protocol();
-        let text = |name| headers.get(name).and_then(|value| value.to_str().ok());
-        let same = text(&protocol.server) == Some(self.server.as_str());
-        if same && head::is_leaving(&headers, protocol) {
-            state.record_leaving(&self.service, &self.server, self.incarnation);
-        }
-        // Health checks may lack the header, so that only a limit in them is news.
-        let limit = head::limit(&headers, protocol);
-        if same && limit != Ok(None) {
-            let process = Process {
-                service: &self.service,
-                server: &self.server,
-                incarnation: self.incarnation,
-            };
-            state.record_limit(process, limit, sent);
-        }
+        let process = Process {
+            service: &self.service,
+            server: &self.server,
+            incarnation: self.incarnation,
+        };
+        let same = observe(&state, process, &headers, sent);
         if code != StatusCode::OK || !same {
             return;
         }
-        let cold_ms = text(&protocol.cold).and_then(|text| text.parse().ok());
+        let protocol = state.dependencies.format.protocol();
+        let cold_ms = headers.get(&protocol.cold);
+        let cold_ms = cold_ms.and_then(|value| value.to_str().ok()?.parse().ok());
         let cold = Duration::from_millis(cold_ms.unwrap_or_default());
         let now = state.now();
         if let Some(fleet) = state.fleets.lock().get_mut(&self.service)
@@ -124,13 +119,44 @@
                 .await
                 .ok()?,
         };
-        let mut request = Request::new(Full::<Bytes>::default());
-        *request.uri_mut() = self.path.parse().ok()?;
-        let host = self.pool.address().to_string();
-        request
-            .headers_mut()
-            .insert(header::HOST, host.parse().ok()?);
+        let request = request(&self.path, &self.pool)?;
         let response = lease.send(request).await.ok()?;
         Some((response.status(), response.headers().clone()))
     }
 }
+
+/// Returns the request of a health check; `None` if the configured path is none.
+pub(crate) fn request(path: &str, pool: &Pool) -> Option<Request<Full<Bytes>>> {
+    let mut request = Request::new(Full::default());
+    *request.uri_mut() = path.parse().ok()?;
+    let host = pool.address().to_string();
+    request
+        .headers_mut()
+        .insert(header::HOST, host.parse().ok()?);
+    Some(request)
+}
+
+/// Records what a process says about itself in the answer to a health check sent at `sent`.
+///
+/// Returns whether the answer is from its server.
+pub(crate) fn observe(
+    state: &State,
+    process: Process<'_>,
+    headers: &HeaderMap,
+    sent: Instant,
+) -> bool {
+    let protocol = state.dependencies.format.protocol();
+    let name = headers.get(&protocol.server);
+    if name.is_none_or(|it| it.as_bytes() != process.server.as_str().as_bytes()) {
+        return false;
+    }
+    if head::is_leaving(headers, protocol) {
+        state.record_leaving(process.service, process.server, process.incarnation);
+    }
+    // Health checks may lack the header, so that only a limit in them is news.
+    let limit = head::limit(headers, protocol);
+    if limit != Ok(None) {
+        state.record_limit(process, limit, sent);
+    }
+    true
+}
--- a/crates/entry/src/request/attempt.rs
+++ b/crates/entry/src/request/attempt.rs
@@ -105,6 +105,17 @@
     pub(crate) connections: usize,
 }
 
+impl Target {
+    /// Returns the process of the server.
+    pub(crate) fn process(&self) -> Process<'_> {
+        Process {
+            service: &self.service,
+            server: &self.server,
+            incarnation: self.incarnation,
+        }
+    }
+}
+
 /// Outcome of one send.
 #[derive(Debug)]
 pub(crate) enum Ending {
@@ -188,8 +199,16 @@
 
 /// Sends the request once; [`Placement::begin`] has already counted it.
 ///
+/// `lease` is the connection, or why there is none; `None` if none was sought yet.
+///
 /// [`Placement::begin`]: azurenotch_core::version::placement::Placement::begin
-pub(crate) async fn send(state: &State, job: &Job, target: &Target, permit: &Permit<'_>) -> Ending {
+pub(crate) async fn send(
+    state: &State,
+    job: &Job,
+    target: &Target,
+    permit: &Permit<'_>,
+    lease: Option<pool::Result<Lease>>,
+) -> Ending {
     let mut attempt = Attempt {
         state,
         target,
@@ -197,7 +216,11 @@
         sent: state.now(),
         ended: false,
     };
-    let lease = match acquire(state, job, target).await {
+    let acquired = match lease {
+        Some(acquired) => acquired,
+        None => acquire(state, job, target).await,
+    };
+    let lease = match acquired {
         Ok(lease) => lease,
         Err(error) => {
             let limit_reached = matches!(error, pool::Error::LimitReached { .. });
@@ -295,7 +318,7 @@
 }
 
 /// Reuses an idle connection or opens a new one.
-async fn acquire(state: &State, job: &Job, target: &Target) -> pool::Result<Lease> {
+pub(crate) async fn acquire(state: &State, job: &Job, target: &Target) -> pool::Result<Lease> {
     let now = state.now();
     let max_idle = if job.repeatable {
         pool::DEFAULT_KEEP_ALIVE
@@ -456,12 +479,7 @@
     if limit == Ok(None) && !headers.contains_key(&protocol.signature) {
         return;
     }
-    let process = Process {
-        service: &target.service,
-        server: &target.server,
-        incarnation: target.incarnation,
-    };
-    state.record_limit(process, limit, sent);
+    state.record_limit(target.process(), limit, sent);
 }
 
 /// Records the pause that the server asked for; returns whether it asked for one.
@@ -488,21 +506,22 @@
     true
 }
 
-/// Records what the server reported about itself in the header of its answer, if anything.
-fn observe_report(state: &State, target: &Target, headers: &HeaderMap) {
+/// Records what the server reported about itself in the header of its answer; returns whether it did.
+pub(crate) fn observe_report(state: &State, target: &Target, headers: &HeaderMap) -> bool {
     let format = &state.dependencies.format;
     let Some(value) = headers.get(&format.protocol().load) else {
-        return;
+        return false;
     };
     let Some(report) = value.to_str().ok().and_then(|it| format.load(it)) else {
         let metrics = &state.metrics;
         metrics.count_malformed_load(target.service.as_str());
-        return;
+        return false;
     };
     if let Some(fleet) = state.fleets.lock().get_mut(&target.service) {
         let placement = &mut fleet.placement;
         placement.observe_report(state.now(), target.choice.index, &report);
     }
+    true
 }
 
 /// Sends the request once; returns `None` if it has not ended when the request is given up.
@@ -511,10 +530,11 @@
     job: &Job,
     target: &Target,
     permit: &Permit<'_>,
+    lease: Option<pool::Result<Lease>>,
 ) -> Option<Ending> {
     let left = job.end.since(state.now());
     select! {
-        ending = timeout(left, send(state, job, target, permit)) => ending.ok(),
+        ending = timeout(left, send(state, job, target, permit, lease)) => ending.ok(),
         () = state.cutoff.cancelled() => Some(Ending::Stopped),
     }
 }
--- a/crates/entry/src/request/forward.rs
+++ b/crates/entry/src/request/forward.rs
@@ -1,12 +1,14 @@
 //! Forwards a request: sends it to backend servers until one answers or no further send is allowed.
 
 use crate::{
+    connection::pool::{self, Lease},
     process::{
         state::{Pending, State},
         suspects::software,
     },
     request::{
         attempt::{self, Ending, Job, Target},
+        check,
         reply::{self, Body, Reason},
         suspect::{Permit, Rejection, Suspect},
     },
@@ -109,6 +111,10 @@
     /// Regions in which the request may run as of the last choice; empty if it may run in all.
     allowed_regions: Vec<Region>,
     candidate: Option<Candidate>,
+    /// Whether a health check was made before a send; there is at most one for each request.
+    is_checked: bool,
+    /// Version selected for the send before which a health check is made.
+    selection: Option<Selection>,
 }
 
 impl Attempts {
@@ -176,6 +182,8 @@
 /// Next step of a request.
 enum Next {
     Send(Target),
+    /// The server is asked for its speed first.
+    Check(Target),
     Refuse(Reason, Duration),
 }
 
@@ -199,12 +207,18 @@
             if !self.ends_before_stop() {
                 return attempts.refuse(Reason::Leaving, retry_after(Duration::ZERO));
             }
-            let target = match self.choose_next(&mut attempts) {
-                Next::Send(target) => target,
+            let mut next = self.choose_next(&mut attempts);
+            let mut lease = None;
+            if let Next::Check(target) = next {
+                let checked = check::run(self.state, &self.job, &target).await;
+                (next, lease) = self.on_check(&mut attempts, target, checked);
+            }
+            let target = match next {
+                Next::Send(target) | Next::Check(target) => target,
                 Next::Refuse(reason, wait) => return attempts.refuse(reason, wait),
             };
             attempts.tried.push(target.choice.index);
-            let sent = attempt::send_in_time(self.state, &self.job, &target, &permit);
+            let sent = attempt::send_in_time(self.state, &self.job, &target, &permit, lease);
             let mut ending = sent.await;
             suspect.observe(&permit, &target, ending.as_ref()).await;
             if let Some(Ending::Answered(response)) = &mut ending
@@ -343,10 +357,34 @@
         fleet.is_some_and(|fleet| fleet.budget.take_retry(now, hosts))
     }
 
+    /// Chooses again if a health check showed that it may pay; returns the connection otherwise.
+    fn on_check(
+        &self,
+        attempts: &mut Attempts,
+        target: Target,
+        checked: check::Next,
+    ) -> (Next, Option<pool::Result<Lease>>) {
+        if let check::Next::Send(lease) = checked {
+            let mut fleets = self.state.fleets.lock();
+            let fleet = fleets.get_mut(&self.service);
+            // The server may have been removed meanwhile, and its index have passed to another one.
+            let index = Some(target.choice.index);
+            if let Some(fleet) = fleet.filter(|it| it.placement.find(&target.server) == index) {
+                attempts.selection = None;
+                self.begin(self.state.now(), fleet, attempts, &target);
+                return (Next::Send(target), lease);
+            }
+        }
+        (self.choose_next(attempts), None)
+    }
+
     /// Chooses the backend server of the next send, or refuses the request.
     fn choose_next(&self, attempts: &mut Attempts) -> Next {
         let now = self.state.now();
-        if attempts.declined > 0 && attempts.runs == 0 {
+        // After a health check, the choice is made again for the same send.
+        let selection = attempts.selection.take();
+        let is_again = selection.is_some();
+        if !is_again && attempts.declined > 0 && attempts.runs == 0 {
             // A declined send has already loaded a server, so the next one counts as a retry.
             if attempts.declined > MAX_DECLINED_SENDS || !self.take_retry(now) {
                 return Next::Refuse(Reason::Overload, retry_after(Duration::ZERO));
@@ -362,16 +400,17 @@
         let Some(fleet) = fleets.get_mut(&self.service) else {
             return Next::Refuse(Reason::NoServer, retry_after(NO_SERVER_RETRY_DELAY));
         };
-        if attempts.tried.is_empty() {
+        if !is_again && attempts.tried.is_empty() {
             fleet.budget.record_request(now);
             fleet.spill.count(now);
         }
-        let selection = if attempts.running_version_only {
-            fleet.running()
-        } else {
-            fleet.select(now)
+        let selection = match selection {
+            Some(selection) => selection,
+            None if attempts.running_version_only => fleet.running(),
+            None => fleet.select(now),
         };
-        let Some((choice, preferred)) = self.choose(now, fleet, attempts, selection) else {
+        let chosen = self.choose(now, fleet, attempts, selection.clone());
+        let Some((choice, preferred)) = chosen else {
             let query = self.query(fleet, attempts, None);
             return refuse_without_server(now, &fleet.placement, &query);
         };
@@ -404,16 +443,7 @@
         let Some(pool) = fleet.pool(choice.index) else {
             return Next::Refuse(Reason::NoServer, retry_after(NO_SERVER_RETRY_DELAY));
         };
-        fleet.placement.begin(now, &choice, self.object);
-        if fleet.placement.limit(now, choice.index).is_some() {
-            self.state.metrics.count_limited_send(self.service.as_str());
-        }
         let backend = fleet.placement.backend(choice.index);
-        // Refused requests move no load between regions, so only requests that are sent count.
-        let preferred_region = fleet.placement.backend(preferred).region.as_ref();
-        if let Some((preferred, sent)) = preferred_region.zip(backend.region.as_ref()) {
-            self.state.slew.lock().count(now, preferred, sent);
-        }
         let (server, release) = (backend.server.clone(), backend.release.clone());
         let incarnation = backend.incarnation;
         let connections = (fleet.connections as usize / hosts.max(1)).max(1);
@@ -428,9 +458,30 @@
             pool,
             connections,
         };
+        if !attempts.is_checked && fleet.placement.begin_check(now, &choice) {
+            attempts.is_checked = true;
+            attempts.selection = Some(selection);
+            return Next::Check(target);
+        }
+        self.begin(now, fleet, attempts, &target);
         Next::Send(target)
     }
 
+    /// Counts a request that is sent to the server chosen last.
+    fn begin(&self, now: Instant, fleet: &mut Fleet, attempts: &Attempts, target: &Target) {
+        let choice = &target.choice;
+        fleet.placement.begin(now, choice, self.object);
+        if fleet.placement.limit(now, choice.index).is_some() {
+            self.state.metrics.count_limited_send(self.service.as_str());
+        }
+        // Refused requests move no load between regions, so only requests that are sent count.
+        let candidate = attempts.candidate.as_ref();
+        let preferred_region = candidate.and_then(|it| it.preferred_region.as_ref());
+        if let Some((preferred, sent)) = preferred_region.zip(target.region.as_ref()) {
+            self.state.slew.lock().count(now, preferred, sent);
+        }
+    }
+
     /// Chooses the server; falls back to the running version if the selected one has no server.
     ///
     /// Also returns the index of the server preferred without the limit on how fast requests move
