feat(entry): hosts pass on the figures that servers told them

Cause: with many hosts, each one hears from a server too seldom to know its speed. Change: an optional part at the end of the datagram has at most 40 figures, those that differ most from the mean and still say something, with their age. Result: unit tests of the part; at most 480 bytes for 40 figures.

--- a/crates/entry/src/process/gossip/inbound.rs
+++ b/crates/entry/src/process/gossip/inbound.rs
@@ -7,7 +7,7 @@
     platform::Subject,
     process::{
         change::{Origin, Source},
-        message::{self, Datagram, FreshnessReport},
+        message::{self, Datagram, FreshnessReport, Speeds},
         replica::{Freshness, Update},
     },
 };
@@ -81,6 +81,7 @@
             access,
             suspects,
             completeness,
+            speeds,
         } = datagram;
         let state = &self.state;
         let now = state.now();
@@ -137,6 +138,7 @@
             self.receive_rates(now, &host, &message.rates);
         }
         self.receive_loads(now, &message.loads);
+        self.receive_speeds(now, &speeds);
         self.receive_leaving(now, &tail.leaving);
         if let Some(echoed) = echoed {
             state.receive_limits(now, echoed, &limits.reports);
@@ -283,6 +285,16 @@
         }
     }
 
+    /// Records the speed of servers that told it to another host.
+    fn receive_speeds(&self, now: Instant, speeds: &Speeds) {
+        let mut fleets = self.state.fleets.lock();
+        for (server, figure) in speeds.figures() {
+            for fleet in fleets.values_mut() {
+                fleet.placement.receive_figure(now, server, figure);
+            }
+        }
+    }
+
     /// Confirms the subjects of which this host has all rows of the sender.
     ///
     /// The sender's confirmation counts from the time that the echo proves. Returns whether the
--- a/crates/entry/src/process/gossip/outbound.rs
+++ b/crates/entry/src/process/gossip/outbound.rs
@@ -5,7 +5,7 @@
     updates::{Round, Updates},
 };
 use crate::process::{
-    message::{Access, Completeness, Head},
+    message::{Access, Completeness, Head, Speeds},
     replica::Update,
 };
 use azurenotch_core::process::{echo::Echo, election::Path, spread};
@@ -81,10 +81,13 @@
         let suspects = self.state.suspects.lock().news(now, round, joined);
         let completeness = self.state.replica.lock().shared_completeness();
         let completeness = completeness.map(|it| Completeness::new(now, it));
+        let speeds = self.speeds();
         let mut encode = |updates: Option<[Update; 2]>| {
             let mut end = Vec::new();
             // A part needs all those before it.
-            let has_suspects_part = completeness.is_some() || !suspects.is_empty();
+            let has_speeds = !speeds.figures.is_empty();
+            let has_completeness_part = completeness.is_some() || has_speeds;
+            let has_suspects_part = has_completeness_part || !suspects.is_empty();
             if updates.is_some() || has_suspects_part || !limits.reports.is_empty() {
                 rmp_serde::encode::write(&mut end, &limits)?;
             }
@@ -94,8 +97,12 @@
             if has_suspects_part {
                 rmp_serde::encode::write(&mut end, &suspects)?;
             }
-            if let Some(completeness) = &completeness {
-                rmp_serde::encode::write(&mut end, completeness)?;
+            if has_completeness_part {
+                let completeness = completeness.unwrap_or_default();
+                rmp_serde::encode::write(&mut end, &completeness)?;
+            }
+            if has_speeds {
+                rmp_serde::encode::write(&mut end, &speeds)?;
             }
             message.updates = updates;
             let body = rmp_serde::to_vec(&message)?;
@@ -121,6 +128,14 @@
         })
     }
 
+    /// Returns the figures of servers that differ most from those of the other servers.
+    fn speeds(&self) -> Speeds {
+        let now = self.state.now();
+        let fleets = self.state.fleets.lock();
+        let figures = fleets.values().flat_map(|it| it.placement.figures(now));
+        Speeds::new(figures.collect())
+    }
+
     /// Returns the recent changes of the rows.
     fn updates(&self) -> Updates {
         let now = self.state.now();
--- a/crates/entry/src/process/message.rs
+++ b/crates/entry/src/process/message.rs
@@ -6,10 +6,14 @@
 };
 use azurenotch_core::{
     process::{echo::Echo, moment::Moment, quota::Count, suspect::News},
-    version::{cutover::Evidence, limit},
+    version::{cutover::Evidence, limit, placement::Figure},
 };
 use azurenotch_wire::time::Instant;
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use std::time::Duration;
+
+/// Maximum number of figures in one message.
+const MAX_FIGURES: usize = 40;
 
 /// Parts of a datagram.
 #[derive(Debug)]
@@ -25,6 +29,8 @@
     pub(crate) suspects: News,
     /// Left out unless the store was restored; builds before it ignore it.
     pub(crate) completeness: Completeness,
+    /// Left out if there are none; builds before it ignore it.
+    pub(crate) speeds: Speeds,
 }
 
 /// Start of a datagram, which differs for each receiver.
@@ -115,6 +121,42 @@
     }
 }
 
+/// Figures of the speed of backend servers that the sender was told.
+#[derive(Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Speeds {
+    /// Hash of the server, time that work takes in per cent of the usual, age in milliseconds.
+    pub(crate) figures: Vec<(u32, u32, u16)>,
+}
+
+impl Speeds {
+    /// Creates the part from figures and their difference from the mean, the largest of which it has.
+    pub(crate) fn new(mut figures: Vec<(u32, Figure, f64)>) -> Self {
+        figures.sort_by(|(.., one), (.., other)| other.total_cmp(one));
+        figures.truncate(MAX_FIGURES);
+        let figures = figures.into_iter().map(|(server, figure, _)| {
+            let age = u16::try_from(figure.age.as_millis()).unwrap_or(u16::MAX);
+            (server, (figure.factor * 100.0).round() as u32, age)
+        });
+        Self {
+            figures: figures.collect(),
+        }
+    }
+
+    /// Returns the figures with the hashes of their servers.
+    pub(crate) fn figures(&self) -> impl Iterator<Item = (u32, Figure)> {
+        // A figure of zero is none.
+        let plausible = self.figures.iter().filter(|(_, percent, _)| *percent > 0);
+        plausible.take(MAX_FIGURES).map(|it| {
+            let (server, percent, age_ms) = *it;
+            let figure = Figure {
+                factor: f64::from(percent) / 100.0,
+                age: Duration::from_millis(age_ms.into()),
+            };
+            (server, figure)
+        })
+    }
+}
+
 /// What the sender heard about the limit of a backend server.
 #[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 pub(crate) struct LimitReport {
@@ -160,6 +202,7 @@
         access: decode_optional(&mut reader)?,
         suspects: decode_optional(&mut reader)?,
         completeness: decode_optional(&mut reader)?,
+        speeds: decode_optional(&mut reader)?,
     })
 }
 
@@ -172,3 +215,6 @@
     }
     rmp_serde::from_read(reader)
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/entry/src/process/message/tests.rs
@@ -0,0 +1,42 @@
+//! Optional parts at the end of a datagram.
+
+use super::{Figure, MAX_FIGURES, Speeds, decode_optional};
+use std::time::Duration;
+
+fn figure(factor: f64, age_ms: u64) -> Figure {
+    Figure {
+        factor,
+        age: Duration::from_millis(age_ms),
+    }
+}
+
+/// Guards against a part that grows with the number of servers, and figures that differ after it.
+#[test]
+fn the_figures_that_differ_most_are_passed_on() {
+    let usual = (0..60).map(|server| (server, figure(1.0, 20), 0.2));
+    let slow = (60..90).map(|server| (server, figure(2.5, 150), 1.3));
+    let part = Speeds::new(usual.chain(slow).collect());
+    let bytes = rmp_serde::to_vec(&part).expect("the part is encoded");
+    assert!(bytes.len() <= 12 * MAX_FIGURES, "{} bytes", bytes.len());
+    let received: Speeds = decode_optional(&mut bytes.as_slice()).expect("the part is decoded");
+    let received: Vec<_> = received.figures().collect();
+    assert_eq!(received.len(), MAX_FIGURES);
+    for server in 60..90 {
+        assert!(received.contains(&(server, figure(2.5, 150))), "{server}");
+    }
+}
+
+/// Guards against an error where the sender is of a build without the part.
+#[test]
+fn a_datagram_without_the_part_is_decoded() {
+    let received: Speeds = decode_optional(&mut [].as_slice()).expect("there is nothing to decode");
+    assert_eq!(received, Speeds::default());
+}
+
+#[test]
+fn a_figure_of_zero_is_none() {
+    let part = Speeds {
+        figures: vec![(1, 0, 5), (2, 100, 5)],
+    };
+    assert_eq!(part.figures().collect::<Vec<_>>(), [(2, figure(1.0, 5))]);
+}
