perf(core): the value of a figure is computed when figures arrive

Cause: each choice computed the regression of each server, twice. Change: a table by age class, recomputed with each figure; a server without a figure takes no detour.

--- a/crates/core/src/version/placement/mod.rs
+++ b/crates/core/src/version/placement/mod.rs
@@ -464,11 +464,9 @@
         hit_probability: f64,
     ) -> Choice {
         let entry = &self.entries[index];
-        let arrival = now + entry.rtt() / 2;
         let wait = entry.wait(now, work.average()) * entry.slowdown();
-        let wait = wait * entry.speed.expected(arrival, &self.persistence);
-        let begin = arrival + Duration::from_secs_f64(wait);
-        let slowness = entry.speed.expected(begin, &self.persistence);
+        let arrival = |now| now + entry.rtt() / 2;
+        let (wait, slowness) = entry.speed.scale(now, arrival, wait, &self.persistence);
         let work = work.expected(hit_probability) * entry.slowdown() * slowness;
         Choice {
             index,
--- a/crates/core/src/version/placement/speed.rs
+++ b/crates/core/src/version/placement/speed.rs
@@ -117,6 +117,26 @@
         all.expected(self.figure(at))
     }
 
+    /// Returns a wait in seconds and the factor of the work after it, as expected at the speed.
+    ///
+    /// `arrival` returns when a request that is sent now arrives at the server.
+    pub(super) fn scale(
+        &self,
+        now: Instant,
+        arrival: impl Fn(Instant) -> Instant,
+        wait: f64,
+        all: &Persistence,
+    ) -> (f64, f64) {
+        if self.known.is_none() {
+            let factor = self.expected(now, all);
+            return (wait * factor, factor);
+        }
+        let arrival = arrival(now);
+        let wait = wait * self.expected(arrival, all);
+        let begin = arrival + Duration::from_secs_f64(wait);
+        (wait, self.expected(begin, all))
+    }
+
     /// Returns whether a figure is missing or says nothing more at `now`.
     pub(super) fn is_unknown(&self, now: Instant, all: &Persistence) -> bool {
         let informs = |figure: Figure| all.value(figure.age) >= MIN_PERSISTENCE;
@@ -134,8 +154,12 @@
 }
 
 /// Figures of the servers of one service: mean, spread, and how long a figure keeps its value.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub(super) struct Persistence {
+    /// Mean of all figures; 1 if there are none.
+    mean: f64,
+    /// Part of a figure's difference from the mean that is left, by age class.
+    values: [f64; AGE_BOUNDS_MS.len() + 1],
     all: Sums,
     /// Figures of slow periods.
     slow: Sums,
@@ -173,18 +197,26 @@
             self.slow.scale(0.5);
         }
         self.all.add(factor, weight);
+        self.update();
         if factor > SLOW_FACTOR * self.mean() {
             self.slow.add(factor, weight);
         }
     }
 
-    /// Returns the mean of all figures, or 1 if there are none.
-    pub(super) fn mean(&self) -> f64 {
+    /// Recomputes what each choice reads.
+    fn update(&mut self) {
         if self.all.weight > 0.0 {
-            self.all.sum / self.all.weight
-        } else {
-            1.0
+            self.mean = self.all.sum / self.all.weight;
         }
+        let variance = self.variance();
+        for (index, value) in self.values.iter_mut().enumerate() {
+            *value = self.classes[index].slope(prior(index), variance);
+        }
+    }
+
+    /// Returns the mean of all figures, or 1 if there are none.
+    pub(super) fn mean(&self) -> f64 {
+        self.mean
     }
 
     fn variance(&self) -> f64 {
@@ -217,8 +249,7 @@
 
     /// Returns the part of a figure's difference from the mean that is left at an age.
     pub(super) fn value(&self, age: Duration) -> f64 {
-        let prior = (-age.as_secs_f64() / PRIOR_HALF_LIFE_S).exp2();
-        self.classes[class(age)].slope(prior, self.variance())
+        self.values[class(age)]
     }
 
     /// Returns the expected figure, given the last one of a server.
@@ -230,6 +261,18 @@
     }
 }
 
+impl Default for Persistence {
+    fn default() -> Self {
+        Self {
+            mean: 1.0,
+            values: std::array::from_fn(prior),
+            all: Sums::default(),
+            slow: Sums::default(),
+            classes: std::array::from_fn(|_| Class::default()),
+        }
+    }
+}
+
 impl Sums {
     fn add(&mut self, value: f64, weight: f64) {
         self.weight += weight;
@@ -326,6 +369,14 @@
     }
 }
 
+/// Returns the value of a figure before any pair of figures was seen, by the lower bound of its age.
+fn prior(class: usize) -> f64 {
+    let lower = class
+        .checked_sub(1)
+        .map_or(0, |before| AGE_BOUNDS_MS[before]);
+    (-Duration::from_millis(lower).as_secs_f64() / PRIOR_HALF_LIFE_S).exp2()
+}
+
 /// Returns the index of the class of an age.
 fn class(age: Duration) -> usize {
     let age = age.as_millis();
