--- a/crates/core/src/version/placement/mod.rs
+++ b/crates/core/src/version/placement/mod.rs
@@ -9,15 +9,19 @@
 //! the higher the cost of an avoidable cache miss.
 
 mod absence;
+mod check;
 mod entry;
 mod estimate;
 mod limited;
+mod speed;
 mod timing;
 mod unlisted;
 
 pub use crate::version::balance::Tier;
+pub use check::Finding;
 pub use entry::Backend;
 pub use estimate::Work;
+pub use speed::{Figure, Report};
 
 use absence::Leave;
 use azurenotch_wire::{
@@ -27,6 +31,7 @@
     time::Instant,
 };
 use entry::Entry;
+use speed::Persistence;
 use std::time::Duration;
 use unlisted::Unlisted;
 
@@ -104,6 +109,10 @@
     pub hit_probability: f64,
     /// Age of the load that the server reported last; `None` if it has reported none.
     pub load_age: Option<Duration>,
+    /// Speed that the server told last; `None` if it tells none.
+    pub figure: Option<Figure>,
+    /// Time that the work is expected to take because of the speed, as a multiple of the usual.
+    pub slowness: f64,
 }
 
 /// Outcome of an attempt for the assessment of the backend server.
@@ -155,6 +164,8 @@
     unlisted: Map<Server, Unlisted>,
     /// Processes, by server, that have named a limit that cannot be read.
     unreadable_limits: Map<Server, u64>,
+    /// What is known of the speed that servers tell.
+    persistence: Persistence,
 }
 
 impl Placement {
@@ -173,6 +184,7 @@
             drain: Duration::ZERO,
             unlisted: Map::default(),
             unreadable_limits: Map::default(),
+            persistence: Persistence::default(),
         }
     }
 
@@ -237,7 +249,7 @@
 
     /// Returns the estimated work on an object that is not cached, in seconds.
     pub fn cold_work(&self, route: u32) -> f64 {
-        self.estimates(route).cold()
+        self.estimates(route).cold() * self.persistence.mean()
     }
 
     fn estimates(&self, route: u32) -> Work {
@@ -274,7 +286,7 @@
 
     /// Returns the average work of requests, in seconds.
     pub fn average_work(&self, route: u32) -> f64 {
-        self.estimates(route).average()
+        self.estimates(route).average() * self.persistence.mean()
     }
 
     /// Returns the slots of the servers in this host's region that run a version, or any version.
@@ -353,6 +365,7 @@
         let rtt = entry.rtt().as_secs_f64();
         entry.end(now, verdict);
         let served = (latency.as_secs_f64() - rtt - choice.wait.as_secs_f64()).max(0.001);
+        let served = served / speed::during(now, served, choice, &entry.speed, &self.persistence);
         let work = self.work.entry(choice.route);
         let work = work.or_insert_with(|| Work::new(self.objective));
         // The time is compared with the average of all answers, not with the expected time: while
@@ -453,7 +466,9 @@
     ) -> Choice {
         let entry = &self.entries[index];
         let wait = entry.wait(now, work.average()) * entry.slowdown();
-        let work = work.expected(hit_probability) * entry.slowdown();
+        let arrival = |now| now + entry.rtt() / 2;
+        let (wait, slowness) = entry.speed.scale(now, arrival, wait, &self.persistence);
+        let work = work.expected(hit_probability) * entry.slowdown() * slowness;
         Choice {
             index,
             route,
@@ -461,6 +476,8 @@
             wait: Duration::from_secs_f64(wait),
             hit_probability,
             load_age: entry.load_age(now),
+            figure: entry.speed.figure(now),
+            slowness,
         }
     }
 
--- a/crates/entry/src/process/gossip/inbound.rs
+++ b/crates/entry/src/process/gossip/inbound.rs
@@ -7,7 +7,7 @@
     platform::Subject,
     process::{
         change::{Origin, Source},
-        message::{self, Datagram, FreshnessReport},
+        message::{self, Completeness, Datagram, FreshnessReport, Speeds},
         replica::{Freshness, Update},
     },
 };
@@ -85,6 +85,7 @@
             access,
             suspects,
             completeness,
+            speeds,
             usage,
         } = datagram;
         let state = &self.state;
@@ -142,6 +143,7 @@
             self.receive_rates(now, &host, &message.rates);
         }
         self.receive_loads(now, &message.loads);
+        self.receive_speeds(now, &speeds);
         self.receive_leaving(now, &tail.leaving);
         if let Some(echoed) = echoed {
             state.receive_limits(now, echoed, &limits.reports);
@@ -150,11 +152,7 @@
         self.receive_usage(now, (&host, Incarnation(incarnation)), echoed, &usage);
         self.receive_updates(message.updates);
         self.receive_shared(message.shared);
-        if let (Some(sent), Some(age_ms)) = (echoed, completeness.age_ms) {
-            let at = Moment::from(sent) - Duration::from_millis(age_ms.into());
-            let mut replica = state.replica.lock();
-            replica.learn_completeness(completeness.configuration, at);
-        }
+        self.receive_completeness(echoed, completeness);
         let newer_configuration = tail.configuration > state.configuration_version();
         let newer = self.confirm(
             now,
@@ -181,6 +179,15 @@
         }
     }
 
+    /// Records up to when the sender's configuration is complete, from the time that its echo proves.
+    fn receive_completeness(&self, echoed: Option<Instant>, completeness: Completeness) {
+        if let (Some(sent), Some(age_ms)) = (echoed, completeness.age_ms) {
+            let at = Moment::from(sent) - Duration::from_millis(age_ms.into());
+            let mut replica = self.state.replica.lock();
+            replica.learn_completeness(completeness.configuration, at);
+        }
+    }
+
     /// Returns up to when this host has changes, and when it heard of the last confirmation.
     fn freshness(&self) -> [Freshness; 2] {
         let replica = self.state.replica.lock();
@@ -289,6 +296,16 @@
         }
     }
 
+    /// Records the speed of servers that told it to another host.
+    fn receive_speeds(&self, now: Instant, speeds: &Speeds) {
+        let mut fleets = self.state.fleets.lock();
+        for (server, figure) in speeds.figures() {
+            for fleet in fleets.values_mut() {
+                fleet.placement.receive_figure(now, server, figure);
+            }
+        }
+    }
+
     /// Confirms the subjects of which this host has all rows of the sender.
     ///
     /// The sender's confirmation counts from the time that the echo proves. Returns whether the
--- a/crates/entry/src/process/gossip/outbound.rs
+++ b/crates/entry/src/process/gossip/outbound.rs
@@ -6,7 +6,7 @@
     usage::with_ends,
 };
 use crate::process::{
-    message::{Access, Completeness, Head},
+    message::{Access, Completeness, Head, Speeds},
     replica::Update,
 };
 use azurenotch_core::process::{echo::Echo, election::Path, spread};
@@ -91,11 +91,13 @@
         let suspects = self.state.suspects.lock().news(now, round, joined);
         let completeness = self.state.replica.lock().shared_completeness();
         let completeness = completeness.map(|it| Completeness::new(now, it));
+        let speeds = self.speeds();
         let mut encode = |updates: Option<[Update; 2]>| {
             let mut end = Vec::new();
             // A part needs all those before it.
             let has_usage_part = self.state.usage.is_some();
-            let has_completeness_part = completeness.is_some() || has_usage_part;
+            let has_speeds_part = has_usage_part || !speeds.figures.is_empty();
+            let has_completeness_part = completeness.is_some() || has_speeds_part;
             let has_suspects_part = has_completeness_part || !suspects.is_empty();
             if updates.is_some() || has_suspects_part || !limits.reports.is_empty() {
                 rmp_serde::encode::write(&mut end, &limits)?;
@@ -109,6 +111,9 @@
             if has_completeness_part {
                 rmp_serde::encode::write(&mut end, &completeness.unwrap_or_default())?;
             }
+            if has_speeds_part {
+                rmp_serde::encode::write(&mut end, &speeds)?;
+            }
             message.updates = updates;
             let body = rmp_serde::to_vec(&message)?;
             Ok::<_, rmp_serde::encode::Error>([body.as_slice(), &tail, &end].concat())
@@ -133,6 +138,14 @@
         })
     }
 
+    /// Returns the figures of servers that differ most from those of the other servers.
+    fn speeds(&self) -> Speeds {
+        let now = self.state.now();
+        let fleets = self.state.fleets.lock();
+        let figures = fleets.values().flat_map(|it| it.placement.figures(now));
+        Speeds::new(figures.collect())
+    }
+
     /// Returns the recent changes of the rows.
     fn updates(&self) -> Updates {
         let now = self.state.now();
--- a/crates/entry/src/request/attempt.rs
+++ b/crates/entry/src/request/attempt.rs
@@ -5,7 +5,7 @@
 
 use crate::{
     connection::pool::{self, Lease, Pool, SendError},
-    process::state::State,
+    process::{server_limit::Process, state::State},
     request::{
         head,
         memory::Reservation,
@@ -20,7 +20,7 @@
         identity::{Identity, Key, Parts},
         pause,
     },
-    version::placement::{Choice, Load, Verdict},
+    version::placement::{Choice, Verdict},
 };
 use azurenotch_platform::http::status;
 use azurenotch_wire::{
@@ -112,6 +112,17 @@
     pub(crate) connections: usize,
 }
 
+impl Target {
+    /// Returns the process of the server.
+    pub(crate) fn process(&self) -> Process<'_> {
+        Process {
+            service: &self.service,
+            server: &self.server,
+            incarnation: self.incarnation,
+        }
+    }
+}
+
 /// Outcome of one send.
 #[derive(Debug)]
 pub(crate) enum Ending {
@@ -200,8 +211,16 @@
 
 /// Sends the request once; [`Placement::begin`] has already counted it.
 ///
+/// `lease` is the connection, or why there is none; `None` if none was sought yet.
+///
 /// [`Placement::begin`]: azurenotch_core::version::placement::Placement::begin
-pub(crate) async fn send(state: &State, job: &Job, target: &Target, permit: &Permit<'_>) -> Ending {
+pub(crate) async fn send(
+    state: &State,
+    job: &Job,
+    target: &Target,
+    permit: &Permit<'_>,
+    lease: Option<pool::Result<Lease>>,
+) -> Ending {
     let mut attempt = Attempt {
         state,
         target,
@@ -211,7 +230,11 @@
         end: Some(End::Unsent),
         ended: false,
     };
-    let lease = match acquire(state, job, target).await {
+    let acquired = match lease {
+        Some(acquired) => acquired,
+        None => acquire(state, job, target).await,
+    };
+    let lease = match acquired {
         Ok(lease) => lease,
         Err(error) => {
             let limit_reached = matches!(error, pool::Error::LimitReached { .. });
@@ -235,7 +258,7 @@
     attempt.end = Some(count::end(state, &exchanged));
     match exchanged {
         Exchanged::Head(response, lease) => {
-            observe_load(state, target, response.headers());
+            observe_report(state, target, response.headers());
             let status = response.status();
             let protocol = state.dependencies.format.protocol();
             let pauses = observe_pause(state, target, &response);
@@ -312,7 +335,7 @@
 }
 
 /// Reuses an idle connection or opens a new one.
-async fn acquire(state: &State, job: &Job, target: &Target) -> pool::Result<Lease> {
+pub(crate) async fn acquire(state: &State, job: &Job, target: &Target) -> pool::Result<Lease> {
     let now = state.now();
     let max_idle = if job.repeatable {
         pool::DEFAULT_KEEP_ALIVE
@@ -487,27 +510,22 @@
     true
 }
 
-/// Records the load that the server reported in the header of its answer, if any.
-fn observe_load(state: &State, target: &Target, headers: &HeaderMap) {
-    let value = headers.get(&state.dependencies.format.protocol().load);
-    let Some(text) = value.and_then(|value| value.to_str().ok()) else {
-        return;
-    };
-    let mut numbers = text.split(',').map(|number| number.trim().parse::<u32>());
-    let (Some(Ok(running)), Some(Ok(waiting)), Some(Ok(slots))) =
-        (numbers.next(), numbers.next(), numbers.next())
-    else {
-        return;
+/// Records what the server reported about itself in the header of its answer; returns whether it did.
+pub(crate) fn observe_report(state: &State, target: &Target, headers: &HeaderMap) -> bool {
+    let format = &state.dependencies.format;
+    let Some(value) = headers.get(&format.protocol().load) else {
+        return false;
     };
-    let load = Load {
-        running,
-        waiting,
-        slots,
+    let Some(report) = value.to_str().ok().and_then(|it| format.load(it)) else {
+        let metrics = &state.metrics;
+        metrics.count_malformed_load(target.service.as_str());
+        return false;
     };
     if let Some(fleet) = state.fleets.lock().get_mut(&target.service) {
         let placement = &mut fleet.placement;
-        placement.observe_load(state.now(), target.choice.index, load);
+        placement.observe_report(state.now(), target.choice.index, &report);
     }
+    true
 }
 
 /// Sends the request once; returns `None` if it has not ended when the request is given up.
@@ -516,10 +534,11 @@
     job: &Job,
     target: &Target,
     permit: &Permit<'_>,
+    lease: Option<pool::Result<Lease>>,
 ) -> Option<Ending> {
     let left = job.end.since(state.now());
     select! {
-        ending = timeout(left, send(state, job, target, permit)) => ending.ok(),
+        ending = timeout(left, send(state, job, target, permit, lease)) => ending.ok(),
         () = state.cutoff.cancelled() => Some(Ending::Stopped),
     }
 }
--- a/crates/entry/src/request/attempt/limit.rs
+++ b/crates/entry/src/request/attempt/limit.rs
@@ -1,10 +1,7 @@
 //! Limits that backend servers name in their answers.
 
 use super::{Target, is_from_other};
-use crate::{
-    process::{server_limit::Process, state::State},
-    request::head,
-};
+use crate::{process::state::State, request::head};
 use azurenotch_wire::time::Instant;
 use http::Response;
 use hyper::body::Incoming;
@@ -27,10 +24,5 @@
     if limit == Ok(None) && !headers.contains_key(&protocol.signature) {
         return;
     }
-    let process = Process {
-        service: &target.service,
-        server: &target.server,
-        incarnation: target.incarnation,
-    };
-    state.record_limit(process, limit, sent);
+    state.record_limit(target.process(), limit, sent);
 }
