feat(model): add the deployment crowded

Uneven regions, few slots, small caches and objects that are popular enough to fill servers had no replay. crowded has 87 hosts in 6 data centres, 102 servers of 4 slots and 90 objects, of which a server keeps 10.

--- a/crates/model/src/site.rs
+++ b/crates/model/src/site.rs
@@ -172,6 +172,39 @@
     ..WIDE
 };
 
+/// Returns a data centre of [`CROWDED`].
+const fn crowded_centre(region: &'static str, hosts: u32, servers: u32, callers: f64) -> Centre {
+    Centre {
+        region,
+        hosts,
+        servers,
+        callers,
+    }
+}
+
+/// Few slots per server, small caches, and objects that are popular enough to fill servers.
+const CROWDED: Site = Site {
+    name: "crowded",
+    centres: &[
+        crowded_centre("north", 15, 5, 0.17),
+        crowded_centre("north", 14, 5, 0.17),
+        crowded_centre("middle", 15, 21, 0.17),
+        crowded_centre("middle", 14, 21, 0.17),
+        crowded_centre("south", 15, 25, 0.16),
+        crowded_centre("south", 14, 25, 0.16),
+    ],
+    slots: 4,
+    queue: 12,
+    warm_objects: 10,
+    objects: 15,
+    rate: 332.0,
+    work: Duration::from_millis(1_640),
+    objective: Duration::from_millis(1_200),
+    timeout: Duration::from_secs(8),
+    deadline: Duration::from_secs(8),
+    ..WIDE
+};
+
 /// One region with four data centres.
 const SINGLE: Site = Site {
     name: "single",
@@ -194,4 +227,4 @@
 };
 
 /// All sites.
-pub const SITES: [Site; 4] = [WIDE, NARROW, SINGLE, PLAIN];
+pub const SITES: [Site; 5] = [WIDE, NARROW, SINGLE, PLAIN, CROWDED];
