feat(core): measure hit probabilities where caches have room

The hit probability at a home was a constant, in another region too, while the real one differs. Each answer counts as a hit or a miss by the rank of its server, region, whether this host sent the object there, and how often it saw the object. The constants are the priors.

--- a/crates/core/src/version/placement/entry.rs
+++ b/crates/core/src/version/placement/entry.rs
@@ -1,6 +1,6 @@
 //! State of one backend server as observed by a host.
 
-use super::{DEFAULT_HIT_PROBABILITY, Load, Query, Verdict};
+use super::{Load, Query, Verdict};
 use crate::{
     process::{senders::Limiter, warmup},
     version::{balance::Tier, limit::Limit},
@@ -27,11 +27,6 @@
 const RELATIVE_TIME_RANGE: (f64, f64) = (0.4, 20.0);
 /// Time for which a server is assumed to cache an object after a request from this host.
 const CACHE_TIME: Duration = Duration::from_secs(6);
-/// Hit probability of an object at a server to which this host has recently sent a request for it.
-///
-/// The server has the object in its cache once it answers, so a server that was chosen once under
-/// load remains the better choice.
-const SENT_HIT_PROBABILITY: f64 = 0.95;
 /// Objects tracked for one server.
 const MAX_OBJECTS: usize = 256;
 /// Back-off after a server was unreachable; doubled with each consecutive failure.
@@ -272,23 +267,15 @@
         (mix(self.region_hash, object) >> 32) as f64 / f64::from(u32::MAX)
     }
 
-    pub(super) fn hit_probability(
-        &self,
-        now: Instant,
-        object: Option<u64>,
-        home: Option<f64>,
-    ) -> f64 {
-        let Some(object) = object else {
-            return 1.0;
-        };
+    /// Returns the hash of the server's region, the same for all servers without a known region.
+    pub(super) fn region_hash(&self) -> u64 {
+        self.region_hash
+    }
+
+    /// Returns whether this host has recently sent a request for the object to the server.
+    pub(super) fn was_sent(&self, now: Instant, object: u64) -> bool {
         let sent = self.objects.get(&object);
-        let sent = sent.is_some_and(|at| now.since(*at) < CACHE_TIME);
-        let own = if sent {
-            SENT_HIT_PROBABILITY
-        } else {
-            DEFAULT_HIT_PROBABILITY
-        };
-        home.unwrap_or(DEFAULT_HIT_PROBABILITY).max(own)
+        sent.is_some_and(|at| now.since(*at) < CACHE_TIME)
     }
 
     pub(super) fn begin(&mut self, now: Instant, object: Option<u64>) {
--- a/crates/core/src/version/placement/estimate.rs
+++ b/crates/core/src/version/placement/estimate.rs
@@ -10,6 +10,8 @@
 const INITIAL_COLD_SHARE: f64 = 1.25;
 /// Multiple of cold work at which measurements are capped, because a slow server causes them.
 const OUTLIER_FACTOR: f64 = 2.0;
+/// Multiple of warm work that cold work has to be for a time to show whether the cache was warm.
+const MIN_COLD_FACTOR: f64 = 1.5;
 
 /// Average work of the requests of one route.
 ///
@@ -71,13 +73,27 @@
         self.cold.seconds.max(self.warm.seconds)
     }
 
+    /// Returns whether a request that took this time after an expected wait found a warm cache.
+    ///
+    /// Returns `None` if the time does not show it: the wait was long compared with the difference,
+    /// or the server was slow.
+    pub fn is_warm(&self, seconds: f64, wait: f64) -> Option<bool> {
+        let difference = self.cold() - self.warm.seconds;
+        let distinct = self.cold() >= MIN_COLD_FACTOR * self.warm.seconds;
+        let clear = wait <= difference / 2.0 && seconds <= OUTLIER_FACTOR * self.cold();
+        (distinct && clear).then(|| seconds < self.threshold())
+    }
+
+    /// Returns the time that separates warm from cold work: the geometric mean of both averages.
+    fn threshold(&self) -> f64 {
+        (self.warm.seconds * self.cold()).sqrt()
+    }
+
     /// Adds a measurement in seconds.
     pub fn observe(&mut self, seconds: f64) {
         let seconds = seconds.min(OUTLIER_FACTOR * self.cold());
         self.average.add(seconds);
-        // Geometric mean of both averages.
-        let threshold = (self.warm.seconds * self.cold()).sqrt();
-        if seconds < threshold {
+        if seconds < self.threshold() {
             self.warm.add(seconds);
         } else {
             self.cold.add(seconds);
--- a/crates/core/src/version/placement/mod.rs
+++ b/crates/core/src/version/placement/mod.rs
@@ -11,12 +11,15 @@
 mod absence;
 mod entry;
 mod estimate;
+mod hit;
+mod home;
 mod limited;
 mod unlisted;
 
 pub use crate::version::balance::Tier;
 pub use entry::Backend;
 pub use estimate::Work;
+pub use hit::{Class, Place, Rank};
 
 use absence::Leave;
 use azurenotch_wire::{
@@ -26,17 +29,11 @@
     time::Instant,
 };
 use entry::Entry;
+use hit::Hits;
+use home::Ranking;
 use std::time::Duration;
 use unlisted::Unlisted;
 
-/// Hit probability of an object at its home server in this host's region.
-const HOME_HIT_PROBABILITY: f64 = 0.95;
-/// Hit probability of an object at its home server in another region.
-const REMOTE_HOME_HIT_PROBABILITY: f64 = 0.85;
-/// Hit probability of an object at the second-ranked server of a region.
-const SECOND_HIT_PROBABILITY: f64 = 0.5;
-/// Hit probability of an object at any other server.
-const DEFAULT_HIT_PROBABILITY: f64 = 0.05;
 /// Share of all slots in use above which avoidable work costs more than its own time.
 const PRESSURE_THRESHOLD: f64 = 0.25;
 /// Cost of a second of avoidable work for each unit of load above [`PRESSURE_THRESHOLD`], in seconds.
@@ -101,6 +98,8 @@
     pub wait: Duration,
     /// Probability that the server has the object in its cache.
     pub hit_probability: f64,
+    /// What that probability is measured by; `None` if the request concerns no object.
+    pub place: Option<Place>,
     /// Age of the load that the server reported last; `None` if it has reported none.
     pub load_age: Option<Duration>,
 }
@@ -143,6 +142,10 @@
     objective: Duration,
     /// Estimates of the work by the hash of the route.
     work: Map<u32, Work>,
+    /// Measured hit probabilities.
+    hits: Hits,
+    /// When the room in the caches was last checked.
+    checked: Instant,
     cold_per_s: f64,
     /// Processes of servers that said that they are leaving; outlives their listings.
     ///
@@ -167,6 +170,8 @@
             index_by_hash: Map::default(),
             objective,
             work: Map::default(),
+            hits: Hits::new(),
+            checked: Instant::ZERO,
             cold_per_s,
             leaving: Map::default(),
             drain: Duration::ZERO,
@@ -297,6 +302,7 @@
 
     /// Returns the server with the lowest cost for a request, or `None` if none may get it.
     pub fn choose(&mut self, now: Instant, query: &Query<'_>) -> Option<Choice> {
+        self.check_room(now);
         let cold_per_s = self.cold_per_s;
         for entry in &mut self.entries {
             entry.refresh(now, cold_per_s);
@@ -314,7 +320,8 @@
         query: &Query<'_>,
         belongs: impl Fn(&Entry) -> bool,
     ) -> Option<Choice> {
-        let rankings = self.region_rankings(now, query, &belongs);
+        let ranking = self.ranking(now, query, &belongs);
+        let class = query.object.map(|object| self.hits.class(now, object));
         let work = self.estimates(query.route);
         let pressure = self.pressure(now);
         let mut best: Option<(f64, Choice)> = None;
@@ -325,14 +332,15 @@
             {
                 continue;
             }
-            let hit_probability = entry.hit_probability(
-                now,
-                query.object,
-                home_hit_probability(&rankings, index, entry),
-            );
-            let choice = self.estimate(now, index, query.route, &work, hit_probability);
+            let place = query.object.zip(class).map(|(object, class)| Place {
+                rank: ranking.rank(index, entry),
+                near: entry.backend.tier != Tier::Remote,
+                sent: entry.was_sent(now, object),
+                class,
+            });
+            let choice = self.estimate(now, index, query.route, &work, place);
             let avoidable =
-                (work.expected(hit_probability) - work.expected(HOME_HIT_PROBABILITY)).max(0.0);
+                (work.expected(choice.hit_probability) - work.expected(hit::HOME_PRIOR)).max(0.0);
             let cost = self.cost(now, &choice, query, &work) + pressure * avoidable;
             if best.as_ref().is_none_or(|(least, _)| cost < *least) {
                 best = Some((cost, choice));
@@ -344,6 +352,9 @@
     /// Counts a request that is sent to the server.
     pub fn begin(&mut self, now: Instant, choice: &Choice, object: Option<u64>) {
         self.entries[choice.index].begin(now, object);
+        if let Some(object) = object {
+            self.hits.count(now, object);
+        }
     }
 
     /// Records the outcome of an attempt; `latency` is the time to the header of the answer.
@@ -360,6 +371,10 @@
         match verdict {
             Verdict::Answered => {
                 if !entry.is_cold(now) {
+                    let warm = work.is_warm(served, choice.wait.as_secs_f64());
+                    if let Some((place, hit)) = choice.place.zip(warm) {
+                        self.hits.observe(place, hit);
+                    }
                     work.observe(served);
                 }
                 entry.observe_relative_time(ratio);
@@ -410,36 +425,23 @@
             .clamp(0.0, MAX_PRESSURE)
     }
 
-    /// Returns the two highest-ranked servers of each region for the object.
-    fn region_rankings(
+    /// Ranks the servers of each region for the object.
+    fn ranking(
         &self,
         now: Instant,
         query: &Query<'_>,
         belongs: impl Fn(&Entry) -> bool,
-    ) -> Vec<RegionRanking> {
-        let mut rankings: Vec<RegionRanking> = Vec::new();
+    ) -> Ranking {
+        let mut ranking = Ranking::default();
         let Some(object) = query.object else {
-            return rankings;
+            return ranking;
         };
         for (index, entry) in self.entries.iter().enumerate() {
-            if !belongs(entry) || !entry.is_usable(now, query) {
-                continue;
-            }
-            let rank = entry.rank(object);
-            let region = &entry.backend.region;
-            match rankings
-                .iter_mut()
-                .find(|ranking| ranking.region == *region)
-            {
-                Some(ranking) => ranking.insert(rank, index),
-                None => rankings.push(RegionRanking {
-                    region: region.clone(),
-                    first: (rank, index),
-                    second: None,
-                }),
+            if belongs(entry) && entry.is_usable(now, query) {
+                ranking.insert(index, entry, entry.rank(object));
             }
         }
-        rankings
+        ranking
     }
 
     fn estimate(
@@ -448,9 +450,10 @@
         index: usize,
         route: u32,
         work: &Work,
-        hit_probability: f64,
+        place: Option<Place>,
     ) -> Choice {
         let entry = &self.entries[index];
+        let hit_probability = place.map_or(1.0, |place| self.hits.probability(place));
         let wait = entry.wait(now, work.average()) * entry.slowdown();
         let work = work.expected(hit_probability) * entry.slowdown();
         Choice {
@@ -459,6 +462,7 @@
             expected: entry.rtt() + Duration::from_secs_f64(wait + work),
             wait: Duration::from_secs_f64(wait),
             hit_probability,
+            place,
             load_age: entry.load_age(now),
         }
     }
@@ -484,42 +488,5 @@
     }
 }
 
-/// The highest-ranked servers of one region for an object, which are the same at all hosts.
-#[derive(Debug)]
-struct RegionRanking {
-    region: Option<Region>,
-    /// Rank and index of the home server.
-    first: (u64, usize),
-    /// Rank and index of the server that gets the requests for which the home server has no room.
-    second: Option<(u64, usize)>,
-}
-
-impl RegionRanking {
-    fn insert(&mut self, rank: u64, index: usize) {
-        if rank > self.first.0 {
-            self.second = Some(self.first);
-            self.first = (rank, index);
-        } else if self.second.is_none_or(|(second, _)| rank > second) {
-            self.second = Some((rank, index));
-        }
-    }
-}
-
-/// Returns the hit probability at a home or second-ranked server, or `None` for other servers.
-fn home_hit_probability(rankings: &[RegionRanking], index: usize, entry: &Entry) -> Option<f64> {
-    let ranking = rankings
-        .iter()
-        .find(|ranking| ranking.region == entry.backend.region)?;
-    if ranking.second.is_some_and(|(_, second)| second == index) {
-        return Some(SECOND_HIT_PROBABILITY);
-    }
-    let near = entry.backend.tier != Tier::Remote;
-    (ranking.first.1 == index).then_some(if near {
-        HOME_HIT_PROBABILITY
-    } else {
-        REMOTE_HOME_HIT_PROBABILITY
-    })
-}
-
 #[cfg(test)]
 mod tests;
