feat(core): give popular objects several homes in a region

One object alone can fill most of the slots of its only home, while other servers of the region have none. An object now has up to four homes in the host's region, as many as its own demand needs at a third of a server's slots, if the caches have room, the homes are warm and the region has free slots. The demand is the host's share of recent requests, two standard deviations below its count, times the region's rate. Each host prefers one home by hash. No message is added. Log lines of requests name the rank of the server and the class of the object.

--- a/crates/core/src/version/placement/hit.rs
+++ b/crates/core/src/version/placement/hit.rs
@@ -83,7 +83,7 @@
 impl Class {
     const ALL: usize = 4;
 
-    fn new(count: u32) -> Self {
+    pub(super) fn new(count: u32) -> Self {
         match count {
             0 => Self::New,
             1 => Self::Once,
@@ -171,6 +171,8 @@
     classes: [[Share; Class::ALL]; PLACES],
     /// Requests by object in the current and in the former generation.
     counts: [Map<u64, u32>; 2],
+    /// Requests for all objects in the same generations.
+    all: [u32; 2],
     generation: Instant,
     /// Answers of homes in this host's region.
     near_homes: Share,
@@ -202,6 +204,7 @@
             places,
             classes: [[Share::default(); Class::ALL]; PLACES],
             counts: [Map::default(), Map::default()],
+            all: [0; 2],
             generation: Instant::ZERO,
             near_homes: Share {
                 hits: 0.0,
@@ -267,24 +270,27 @@
         if age >= GENERATION {
             self.counts.swap(0, 1);
             self.counts[0].clear();
+            self.all = [0, self.all[0]];
             if age >= 2 * GENERATION {
                 self.counts[1].clear();
+                self.all[1] = 0;
             }
             self.generation = now;
         }
+        self.all[0] += 1;
         let counts = &mut self.counts[0];
         if counts.len() < MAX_COUNTED || counts.contains_key(&object) {
             *counts.entry(object).or_default() += 1;
         }
     }
 
-    /// Returns the class of an object by its requests in the last 4 to 8 s.
-    pub(super) fn class(&self, now: Instant, object: u64) -> Class {
+    /// Returns the requests in the last 4 to 8 s, for an object and for all objects.
+    pub(super) fn requests(&self, now: Instant, object: u64) -> (u32, u32) {
         let age = now.since(self.generation);
         let known = usize::from(age < 2 * GENERATION) + usize::from(age < GENERATION);
         let counts = self.counts[..known].iter();
-        let counts = counts.filter_map(|counts| counts.get(&object));
-        Class::new(counts.sum())
+        let own = counts.filter_map(|counts| counts.get(&object)).sum();
+        (own, self.all[..known].iter().sum())
     }
 }
 
--- a/crates/core/src/version/placement/hit/tests.rs
+++ b/crates/core/src/version/placement/hit/tests.rs
@@ -69,21 +69,22 @@
 /// Guards against counts that stay after the time that they cover.
 #[test]
 fn counts_of_objects_end() {
+    let class_of = |hits: &Hits, now, object| Class::new(hits.requests(now, object).0);
     let mut hits = Hits::new();
     let at = |ms| Instant::ZERO + Duration::from_millis(ms);
     let seen = [(0, Class::New), (100, Class::Once), (200, Class::Few)];
     for (ms, class) in seen {
-        assert_eq!(hits.class(at(ms), 7), class);
+        assert_eq!(class_of(&hits, at(ms), 7), class);
         hits.count(at(ms), 7);
     }
     hits.count(at(300), 7);
-    assert_eq!(hits.class(at(4_200), 7), Class::Many);
+    assert_eq!(class_of(&hits, at(4_200), 7), Class::Many);
     hits.count(at(4_300), 8);
-    assert_eq!(hits.class(at(4_400), 7), Class::Many);
+    assert_eq!(class_of(&hits, at(4_400), 7), Class::Many);
     hits.count(at(8_400), 8);
-    assert_eq!(hits.class(at(8_500), 7), Class::New);
-    assert_eq!(hits.class(at(8_500), 8), Class::Few);
-    assert_eq!(hits.class(at(30_000), 8), Class::New);
+    assert_eq!(class_of(&hits, at(8_500), 7), Class::New);
+    assert_eq!(class_of(&hits, at(8_500), 8), Class::Few);
+    assert_eq!(class_of(&hits, at(30_000), 8), Class::New);
 }
 
 /// Guards against other choices than with constants where the caches have no room.
--- a/crates/core/src/version/placement/mod.rs
+++ b/crates/core/src/version/placement/mod.rs
@@ -30,7 +30,7 @@
 };
 use entry::Entry;
 use hit::Hits;
-use home::Ranking;
+use home::{Demand, Ranking};
 use std::time::Duration;
 use unlisted::Unlisted;
 
@@ -62,6 +62,9 @@
 /// to the next when its queues are long.
 const REGION_RANK_COST_SHARE: f64 = 0.1;
 
+/// Cost of a home that this host does not prefer, as a share of the average work.
+const OTHER_HOME_COST_SHARE: f64 = 0.05;
+
 /// Requirements of a request on the backend server.
 #[derive(Debug, Clone, Copy)]
 pub struct Query<'a> {
@@ -144,8 +147,13 @@
     work: Map<u32, Work>,
     /// Measured hit probabilities.
     hits: Hits,
-    /// When the room in the caches was last checked.
+    /// When the demand for objects and the room in the caches were last checked.
     checked: Instant,
+    demand: Demand,
+    /// Requests per second at all hosts of this host's region; 0 if it is not known.
+    region_rate: f64,
+    /// Hash of this host's name.
+    host: u64,
     cold_per_s: f64,
     /// Processes of servers that said that they are leaving; outlives their listings.
     ///
@@ -172,6 +180,9 @@
             work: Map::default(),
             hits: Hits::new(),
             checked: Instant::ZERO,
+            demand: Demand::NONE,
+            region_rate: 0.0,
+            host: 0,
             cold_per_s,
             leaving: Map::default(),
             drain: Duration::ZERO,
@@ -244,6 +255,14 @@
         self.estimates(route).cold()
     }
 
+    /// Returns the means over the routes of the work on a cached object and of the average work.
+    fn mean_work(&self) -> [f64; 2] {
+        let routes = f64::max(self.work.len() as f64, 1.0);
+        let warm = self.work.values().map(|work| work.expected(1.0));
+        let average = self.work.values().map(Work::average);
+        [warm.sum::<f64>() / routes, average.sum::<f64>() / routes]
+    }
+
     fn estimates(&self, route: u32) -> Work {
         let known = self.work.get(&route);
         known.copied().unwrap_or_else(|| Work::new(self.objective))
@@ -320,8 +339,10 @@
         query: &Query<'_>,
         belongs: impl Fn(&Entry) -> bool,
     ) -> Option<Choice> {
-        let ranking = self.ranking(now, query, &belongs);
-        let class = query.object.map(|object| self.hits.class(now, object));
+        let object = query.object.unwrap_or_default();
+        let (count, all) = self.hits.requests(now, object);
+        let ranking = self.ranking(now, query, self.demand.homes(count, all), &belongs);
+        let preferred = ranking.preferred(self.host, object);
         let work = self.estimates(query.route);
         let pressure = self.pressure(now);
         let mut best: Option<(f64, Choice)> = None;
@@ -332,16 +353,19 @@
             {
                 continue;
             }
-            let place = query.object.zip(class).map(|(object, class)| Place {
+            let place = query.object.map(|object| Place {
                 rank: ranking.rank(index, entry),
                 near: entry.backend.tier != Tier::Remote,
                 sent: entry.was_sent(now, object),
-                class,
+                class: Class::new(count),
             });
             let choice = self.estimate(now, index, query.route, &work, place);
             let avoidable =
                 (work.expected(choice.hit_probability) - work.expected(hit::HOME_PRIOR)).max(0.0);
-            let cost = self.cost(now, &choice, query, &work) + pressure * avoidable;
+            let mut cost = self.cost(now, &choice, query, &work) + pressure * avoidable;
+            if preferred.is_some_and(|preferred| preferred != index) {
+                cost += OTHER_HOME_COST_SHARE * work.average();
+            }
             if best.as_ref().is_none_or(|(least, _)| cost < *least) {
                 best = Some((cost, choice));
             }
@@ -430,6 +454,7 @@
         &self,
         now: Instant,
         query: &Query<'_>,
+        near_homes: usize,
         belongs: impl Fn(&Entry) -> bool,
     ) -> Ranking {
         let mut ranking = Ranking::default();
@@ -438,7 +463,9 @@
         };
         for (index, entry) in self.entries.iter().enumerate() {
             if belongs(entry) && entry.is_usable(now, query) {
-                ranking.insert(index, entry, entry.rank(object));
+                let near = entry.backend.tier != Tier::Remote;
+                let homes = if near { near_homes } else { 1 };
+                ranking.insert(index, entry, entry.rank(object), homes);
             }
         }
         ranking
--- a/crates/core/src/version/spill.rs
+++ b/crates/core/src/version/spill.rs
@@ -65,6 +65,13 @@
     /// Each request occupies one of the region's `slots` for `work_s` seconds. Those of its `hosts`
     /// without a recent report are assumed to have the rate of this one.
     pub fn share(&self, now: Instant, work_s: f64, slots: f64, hosts: usize) -> f64 {
+        share(self.demand(now, hosts), work_s, slots)
+    }
+
+    /// Returns the requests per second at the region's `hosts`.
+    ///
+    /// Those without a recent report are assumed to have the rate of this one.
+    pub fn demand(&self, now: Instant, hosts: usize) -> f64 {
         let others = self.reported_rates.values();
         let others = others.filter(|(at, _)| now.since(*at) < REPORTED_RATE_MAX_AGE);
         let (reporting_hosts, reported_rate) =
@@ -72,9 +79,7 @@
                 (reporting_hosts + 1, reported_rate + rate)
             });
         let unreported_hosts = hosts.saturating_sub(reporting_hosts).max(1);
-        let demand = self.rate(now) * unreported_hosts as f64 + reported_rate;
-        let utilization = demand * work_s / slots.max(f64::MIN_POSITIVE);
-        (1.0 - SPILL_UTILIZATION / utilization.max(SPILL_UTILIZATION)).min(MAX_SPILL_SHARE)
+        self.rate(now) * unreported_hosts as f64 + reported_rate
     }
 
     fn decayed_requests(&self, now: Instant) -> f64 {
@@ -83,6 +88,12 @@
     }
 }
 
+/// Returns the share of a region's `demand`, in requests per second, that leaves it, 0 to 0.9.
+pub fn share(demand: f64, work_s: f64, slots: f64) -> f64 {
+    let utilization = demand * work_s / slots.max(f64::MIN_POSITIVE);
+    (1.0 - SPILL_UTILIZATION / utilization.max(SPILL_UTILIZATION)).min(MAX_SPILL_SHARE)
+}
+
 /// Returns whether requests for an object belong to the share that leaves the region.
 ///
 /// The object's hash is mixed again, because the ranking of servers uses the same hash.
--- a/crates/entry/src/process/change.rs
+++ b/crates/entry/src/process/change.rs
@@ -12,7 +12,7 @@
 use azurenotch_core::process::quota::{self, Quota};
 use azurenotch_wire::{
     Set,
-    hash::hash32,
+    hash::{hash32, hash64},
     id::{DataCentre, Service},
     time::Instant,
 };
@@ -188,6 +188,8 @@
                 Fleet::new(objective(config, service), limit)
             });
             fleet.set_config(service_config);
+            let own = self.own.host.as_str();
+            fleet.placement.set_host(hash64(own));
             fleet.placement.set_drain(last_resort_time(&self.setting()));
         }
         let count = fleets.len();
--- a/crates/entry/src/request/forward.rs
+++ b/crates/entry/src/request/forward.rs
@@ -18,7 +18,7 @@
 use azurenotch_core::{
     request::admission::{self, Decision, Estimate},
     version::{
-        placement::{Choice, Placement, Query},
+        placement::{Choice, Place, Placement, Query},
         spill,
     },
 };
@@ -71,6 +71,8 @@
     pub(crate) estimate: Estimate,
     /// Probability that the server has the object in its cache.
     pub(crate) hit_probability: f64,
+    /// What that probability was measured by; `None` if the request concerns no object.
+    pub(crate) place: Option<Place>,
     /// Age of the load that the server reported last; `None` if it has reported none.
     pub(crate) load_age: Option<Duration>,
     /// Requests per second that the server takes from all hosts; `None` without a limit.
@@ -392,6 +394,7 @@
             preferred_region: fleet.placement.backend(preferred).region.clone(),
             estimate,
             hit_probability: choice.hit_probability,
+            place: choice.place,
             load_age: choice.load_age,
             limit: fleet.placement.limit(now, choice.index),
         });
@@ -491,10 +494,12 @@
     }
 
     /// Returns this host's region if the request belongs to the share that spills over, else none.
+    ///
+    /// The region's demand, on which the share depends, also decides on the homes of objects.
     fn spilled_regions(
         &self,
         now: Instant,
-        fleet: &Fleet,
+        fleet: &mut Fleet,
         attempts: &Attempts,
         selection: &Selection,
     ) -> Vec<Region> {
@@ -502,7 +507,9 @@
         let work = fleet.placement.average_work(route);
         let slots = fleet.placement.region_slots(selection.release.as_ref());
         let hosts = self.state.hosts_in_region(now);
-        let share = fleet.spill.share(now, work, slots, hosts);
+        let demand = fleet.spill.demand(now, hosts);
+        fleet.placement.set_region_rate(demand);
+        let share = spill::share(demand, work, slots);
         let spills = match self.object {
             Some(object) => spill::leaves(object, share),
             None => random::<f64>() < share,
--- a/crates/entry/src/request/handler.rs
+++ b/crates/entry/src/request/handler.rs
@@ -308,6 +308,8 @@
             "objective-ms" => estimate.map(|estimate| ms(estimate.objective)),
             "rank" => estimate.map(|estimate| estimate.rank),
             "warm" => candidate.map(|candidate| candidate.hit_probability),
+            "home-rank" => candidate.and_then(|it| it.place).map(|place| place.rank.name()),
+            "object-class" => candidate.and_then(|it| it.place).map(|place| place.class.name()),
             "load-age-ms" => candidate.and_then(|candidate| candidate.load_age).map(ms),
             "limit-per-s" => candidate.and_then(|candidate| candidate.limit),
         );
--- a/crates/model/src/host.rs
+++ b/crates/model/src/host.rs
@@ -76,9 +76,11 @@
     pub fn new(site: &Site, number: usize, centre: usize, names: &[(Name, Region)]) -> Self {
         let (name, region) = names[number].clone();
         let region_hosts = names.iter().filter(|(_, other)| *other == region);
+        let mut placement = Placement::new(site.cold_per_s, site.objective);
+        placement.set_host(hash64(name.as_str()));
         Self {
             centre,
-            placement: Placement::new(site.cold_per_s, site.objective),
+            placement,
             spill: Spill::default(),
             budget: Budget::new(Limit {
                 ratio: RETRY_RATIO,
@@ -148,6 +150,10 @@
         attempt: &Attempt<'_>,
     ) -> Option<Choice> {
         let object = attempt.object.filter(|_| variant.affinity);
+        if variant.homes {
+            let rate = self.spill.demand(now, self.region_hosts.len());
+            self.placement.set_region_rate(rate);
+        }
         let excluded_regions =
             if variant.spill && self.leaves_region(now, object, attempt.random[0]) {
                 vec![self.region.clone()]
--- a/crates/model/src/variant.rs
+++ b/crates/model/src/variant.rs
@@ -21,6 +21,8 @@
     pub gossip: bool,
     /// Whether hosts keep to the limits that servers name.
     pub limits: bool,
+    /// Whether objects have several homes in a region where demand and caches ask for it.
+    pub homes: bool,
     /// Whether the server is chosen with full knowledge of the queues and caches of all servers.
     pub knowing: bool,
 }
@@ -44,11 +46,12 @@
     spill: true,
     gossip: true,
     limits: true,
+    homes: true,
     knowing: false,
 };
 
 /// All variants; the first one has the decisions of the daemon.
-pub const VARIANTS: [Variant; 8] = [
+pub const VARIANTS: [Variant; 9] = [
     PRESENT,
     Variant {
         name: "no-affinity",
@@ -86,6 +89,12 @@
         limits: false,
         ..PRESENT
     },
+    Variant {
+        name: "one-home",
+        description: "each object has one home in a region",
+        homes: false,
+        ..PRESENT
+    },
     Variant {
         name: "knowing",
         description: "full knowledge of queues and caches at the moment of the choice",
