perf(core): check each server once for a choice

The ranking of homes and the choice each checked whether a server may get the request. Both now use one list of the servers that may.

Tests of core pass but the known failure floods; those of the model were not run again after this commit.

--- a/crates/core/src/version/placement/mod.rs
+++ b/crates/core/src/version/placement/mod.rs
@@ -341,16 +341,16 @@
     ) -> Option<Choice> {
         let object = query.object.unwrap_or_default();
         let (count, all) = self.hits.requests(now, object);
-        let ranking = self.ranking(now, query, self.demand.homes(count, all), &belongs);
+        let entries = self.entries.iter().enumerate();
+        let usable = entries.filter(|(_, entry)| belongs(entry) && entry.is_usable(now, query));
+        let usable: Vec<(usize, &Entry)> = usable.collect();
+        let ranking = rank(&usable, query.object, self.demand.homes(count, all));
         let preferred = ranking.preferred(self.host, object);
         let work = self.estimates(query.route);
         let pressure = self.pressure(now);
         let mut best: Option<(f64, Choice)> = None;
-        for (index, entry) in self.entries.iter().enumerate() {
-            if !belongs(entry)
-                || !entry.is_usable(now, query)
-                || query.excluded_servers.contains(&index)
-            {
+        for (index, entry) in usable {
+            if query.excluded_servers.contains(&index) {
                 continue;
             }
             let place = query.object.map(|object| Place {
@@ -449,28 +449,6 @@
             .clamp(0.0, MAX_PRESSURE)
     }
 
-    /// Ranks the servers of each region for the object.
-    fn ranking(
-        &self,
-        now: Instant,
-        query: &Query<'_>,
-        near_homes: usize,
-        belongs: impl Fn(&Entry) -> bool,
-    ) -> Ranking {
-        let mut ranking = Ranking::default();
-        let Some(object) = query.object else {
-            return ranking;
-        };
-        for (index, entry) in self.entries.iter().enumerate() {
-            if belongs(entry) && entry.is_usable(now, query) {
-                let near = entry.backend.tier != Tier::Remote;
-                let homes = if near { near_homes } else { 1 };
-                ranking.insert(index, entry, entry.rank(object), homes);
-            }
-        }
-        ranking
-    }
-
     fn estimate(
         &self,
         now: Instant,
@@ -515,5 +493,19 @@
     }
 }
 
+/// Ranks the servers of each region for the object; `near_homes` are homes in the host's region.
+fn rank(usable: &[(usize, &Entry)], object: Option<u64>, near_homes: usize) -> Ranking {
+    let mut ranking = Ranking::default();
+    let Some(object) = object else {
+        return ranking;
+    };
+    for (index, entry) in usable {
+        let near = entry.backend.tier != Tier::Remote;
+        let homes = if near { near_homes } else { 1 };
+        ranking.insert(*index, entry, entry.rank(object), homes);
+    }
+    ranking
+}
+
 #[cfg(test)]
 mod tests;
