--- a/crates/core/src/version/placement/mod.rs
+++ b/crates/core/src/version/placement/mod.rs
@@ -12,6 +12,8 @@
 mod check;
 mod entry;
 mod estimate;
+mod hit;
+mod home;
 mod limited;
 mod speed;
 mod timing;
@@ -21,6 +23,7 @@
 pub use check::Finding;
 pub use entry::Backend;
 pub use estimate::Work;
+pub use hit::{Class, Place, Rank};
 pub use speed::{Figure, Report};
 
 use absence::Leave;
@@ -31,18 +34,12 @@
     time::Instant,
 };
 use entry::Entry;
+use hit::Hits;
+use home::{Demand, Ranking};
 use speed::Persistence;
 use std::time::Duration;
 use unlisted::Unlisted;
 
-/// Hit probability of an object at its home server in this host's region.
-const HOME_HIT_PROBABILITY: f64 = 0.95;
-/// Hit probability of an object at its home server in another region.
-const REMOTE_HOME_HIT_PROBABILITY: f64 = 0.85;
-/// Hit probability of an object at the second-ranked server of a region.
-const SECOND_HIT_PROBABILITY: f64 = 0.5;
-/// Hit probability of an object at any other server.
-const DEFAULT_HIT_PROBABILITY: f64 = 0.05;
 /// Share of all slots in use above which avoidable work costs more than its own time.
 const PRESSURE_THRESHOLD: f64 = 0.25;
 /// Cost of a second of avoidable work for each unit of load above [`PRESSURE_THRESHOLD`], in seconds.
@@ -71,6 +68,9 @@
 /// to the next when its queues are long.
 const REGION_RANK_COST_SHARE: f64 = 0.1;
 
+/// Cost of a home that this host does not prefer, as a share of the average work.
+const OTHER_HOME_COST_SHARE: f64 = 0.05;
+
 /// Requirements of a request on the backend server.
 #[derive(Debug, Clone, Copy)]
 pub struct Query<'a> {
@@ -107,6 +107,8 @@
     pub wait: Duration,
     /// Probability that the server has the object in its cache.
     pub hit_probability: f64,
+    /// What that probability is measured by; `None` if the request concerns no object.
+    pub place: Option<Place>,
     /// Age of the load that the server reported last; `None` if it has reported none.
     pub load_age: Option<Duration>,
     /// Speed that the server told last; `None` if it tells none.
@@ -153,6 +155,15 @@
     objective: Duration,
     /// Estimates of the work by the hash of the route.
     work: Map<u32, Work>,
+    /// Measured hit probabilities.
+    hits: Hits,
+    /// When the demand for objects and the room in the caches were last checked.
+    checked: Instant,
+    demand: Demand,
+    /// Requests per second at all hosts of this host's region; 0 if it is not known.
+    region_rate: f64,
+    /// Hash of this host's name.
+    host: u64,
     cold_per_s: f64,
     /// Processes of servers that said that they are leaving; outlives their listings.
     ///
@@ -179,6 +190,11 @@
             index_by_hash: Map::default(),
             objective,
             work: Map::default(),
+            hits: Hits::new(),
+            checked: Instant::ZERO,
+            demand: Demand::NONE,
+            region_rate: 0.0,
+            host: 0,
             cold_per_s,
             leaving: Map::default(),
             drain: Duration::ZERO,
@@ -252,6 +268,14 @@
         self.estimates(route).cold() * self.persistence.mean()
     }
 
+    /// Returns the means over the routes of the work on a cached object and of the average work.
+    fn mean_work(&self) -> [f64; 2] {
+        let routes = f64::max(self.work.len() as f64, 1.0);
+        let warm = self.work.values().map(|work| work.expected(1.0));
+        let average = self.work.values().map(Work::average);
+        [warm.sum::<f64>() / routes, average.sum::<f64>() / routes]
+    }
+
     fn estimates(&self, route: u32) -> Work {
         let known = self.work.get(&route);
         known.copied().unwrap_or_else(|| Work::new(self.objective))
@@ -310,6 +334,7 @@
 
     /// Returns the server with the lowest cost for a request, or `None` if none may get it.
     pub fn choose(&mut self, now: Instant, query: &Query<'_>) -> Option<Choice> {
+        self.check_room(now);
         let cold_per_s = self.cold_per_s;
         for entry in &mut self.entries {
             entry.refresh(now, cold_per_s);
@@ -327,26 +352,33 @@
         query: &Query<'_>,
         belongs: impl Fn(&Entry) -> bool,
     ) -> Option<Choice> {
-        let rankings = self.region_rankings(now, query, &belongs);
+        let object = query.object.unwrap_or_default();
+        let (count, all) = self.hits.requests(now, object);
+        let entries = self.entries.iter().enumerate();
+        let usable = entries.filter(|(_, entry)| belongs(entry) && entry.is_usable(now, query));
+        let usable: Vec<(usize, &Entry)> = usable.collect();
+        let ranking = rank(&usable, query.object, self.demand.homes(count, all));
+        let preferred = ranking.preferred(self.host, object);
         let work = self.estimates(query.route);
         let pressure = self.pressure(now);
         let mut best: Option<(f64, Choice)> = None;
-        for (index, entry) in self.entries.iter().enumerate() {
-            if !belongs(entry)
-                || !entry.is_usable(now, query)
-                || query.excluded_servers.contains(&index)
-            {
+        for (index, entry) in usable {
+            if query.excluded_servers.contains(&index) {
                 continue;
             }
-            let hit_probability = entry.hit_probability(
-                now,
-                query.object,
-                home_hit_probability(&rankings, index, entry),
-            );
-            let choice = self.estimate(now, index, query.route, &work, hit_probability);
+            let place = query.object.map(|object| Place {
+                rank: ranking.rank(index, entry),
+                near: entry.backend.tier != Tier::Remote,
+                sent: entry.was_sent(now, object),
+                class: Class::new(count),
+            });
+            let choice = self.estimate(now, index, query.route, &work, place);
             let avoidable =
-                (work.expected(hit_probability) - work.expected(HOME_HIT_PROBABILITY)).max(0.0);
-            let cost = self.cost(now, &choice, query, &work) + pressure * avoidable;
+                (work.expected(choice.hit_probability) - work.expected(hit::HOME_PRIOR)).max(0.0);
+            let mut cost = self.cost(now, &choice, query, &work) + pressure * avoidable;
+            if preferred.is_some_and(|preferred| preferred != index) {
+                cost += OTHER_HOME_COST_SHARE * work.average();
+            }
             if best.as_ref().is_none_or(|(least, _)| cost < *least) {
                 best = Some((cost, choice));
             }
@@ -357,6 +389,9 @@
     /// Counts a request that is sent to the server.
     pub fn begin(&mut self, now: Instant, choice: &Choice, object: Option<u64>) {
         self.entries[choice.index].begin(now, object);
+        if let Some(object) = object {
+            self.hits.count(now, object);
+        }
     }
 
     /// Records the outcome of an attempt; `latency` is the time to the header of the answer.
@@ -374,6 +409,10 @@
         match verdict {
             Verdict::Answered => {
                 if !entry.is_cold(now) {
+                    let warm = work.is_warm(served, choice.wait.as_secs_f64());
+                    if let Some((place, hit)) = choice.place.zip(warm) {
+                        self.hits.observe(place, hit);
+                    }
                     work.observe(served);
                 }
                 entry.observe_relative_time(ratio);
@@ -424,47 +463,16 @@
             .clamp(0.0, MAX_PRESSURE)
     }
 
-    /// Returns the two highest-ranked servers of each region for the object.
-    fn region_rankings(
-        &self,
-        now: Instant,
-        query: &Query<'_>,
-        belongs: impl Fn(&Entry) -> bool,
-    ) -> Vec<RegionRanking> {
-        let mut rankings: Vec<RegionRanking> = Vec::new();
-        let Some(object) = query.object else {
-            return rankings;
-        };
-        for (index, entry) in self.entries.iter().enumerate() {
-            if !belongs(entry) || !entry.is_usable(now, query) {
-                continue;
-            }
-            let rank = entry.rank(object);
-            let region = &entry.backend.region;
-            match rankings
-                .iter_mut()
-                .find(|ranking| ranking.region == *region)
-            {
-                Some(ranking) => ranking.insert(rank, index),
-                None => rankings.push(RegionRanking {
-                    region: region.clone(),
-                    first: (rank, index),
-                    second: None,
-                }),
-            }
-        }
-        rankings
-    }
-
     fn estimate(
         &self,
         now: Instant,
         index: usize,
         route: u32,
         work: &Work,
-        hit_probability: f64,
+        place: Option<Place>,
     ) -> Choice {
         let entry = &self.entries[index];
+        let hit_probability = place.map_or(1.0, |place| self.hits.probability(place));
         let wait = entry.wait(now, work.average()) * entry.slowdown();
         let arrival = |now| now + entry.rtt() / 2;
         let (wait, slowness) = entry.speed.scale(now, arrival, wait, &self.persistence);
@@ -475,6 +483,7 @@
             expected: entry.rtt() + Duration::from_secs_f64(wait + work),
             wait: Duration::from_secs_f64(wait),
             hit_probability,
+            place,
             load_age: entry.load_age(now),
             figure: entry.speed.figure(now),
             slowness,
@@ -502,41 +511,18 @@
     }
 }
 
-/// The highest-ranked servers of one region for an object, which are the same at all hosts.
-#[derive(Debug)]
-struct RegionRanking {
-    region: Option<Region>,
-    /// Rank and index of the home server.
-    first: (u64, usize),
-    /// Rank and index of the server that gets the requests for which the home server has no room.
-    second: Option<(u64, usize)>,
-}
-
-impl RegionRanking {
-    fn insert(&mut self, rank: u64, index: usize) {
-        if rank > self.first.0 {
-            self.second = Some(self.first);
-            self.first = (rank, index);
-        } else if self.second.is_none_or(|(second, _)| rank > second) {
-            self.second = Some((rank, index));
-        }
-    }
-}
-
-/// Returns the hit probability at a home or second-ranked server, or `None` for other servers.
-fn home_hit_probability(rankings: &[RegionRanking], index: usize, entry: &Entry) -> Option<f64> {
-    let ranking = rankings
-        .iter()
-        .find(|ranking| ranking.region == entry.backend.region)?;
-    if ranking.second.is_some_and(|(_, second)| second == index) {
-        return Some(SECOND_HIT_PROBABILITY);
+/// Ranks the servers of each region for the object; `near_homes` are homes in the host's region.
+fn rank(usable: &[(usize, &Entry)], object: Option<u64>, near_homes: usize) -> Ranking {
+    let mut ranking = Ranking::default();
+    let Some(object) = object else {
+        return ranking;
+    };
+    for (index, entry) in usable {
+        let near = entry.backend.tier != Tier::Remote;
+        let homes = if near { near_homes } else { 1 };
+        ranking.insert(*index, entry, entry.rank(object), homes);
     }
-    let near = entry.backend.tier != Tier::Remote;
-    (ranking.first.1 == index).then_some(if near {
-        HOME_HIT_PROBABILITY
-    } else {
-        REMOTE_HOME_HIT_PROBABILITY
-    })
+    ranking
 }
 
 #[cfg(test)]
--- a/crates/entry/src/request/forward.rs
+++ b/crates/entry/src/request/forward.rs
@@ -20,7 +20,7 @@
 use azurenotch_core::{
     request::admission::{self, Decision, Estimate},
     version::{
-        placement::{Choice, Figure, Placement, Query},
+        placement::{Choice, Figure, Place, Placement, Query},
         spill,
     },
 };
@@ -73,6 +73,8 @@
     pub(crate) estimate: Estimate,
     /// Probability that the server has the object in its cache.
     pub(crate) hit_probability: f64,
+    /// What that probability was measured by; `None` if the request concerns no object.
+    pub(crate) place: Option<Place>,
     /// Age of the load that the server reported last; `None` if it has reported none.
     pub(crate) load_age: Option<Duration>,
     /// Speed that the server told last; `None` if it tells none.
@@ -433,6 +435,7 @@
             preferred_region: fleet.placement.backend(preferred).region.clone(),
             estimate,
             hit_probability: choice.hit_probability,
+            place: choice.place,
             load_age: choice.load_age,
             figure: choice.figure,
             limit: fleet.placement.limit(now, choice.index),
@@ -545,10 +548,12 @@
     }
 
     /// Returns this host's region if the request belongs to the share that spills over, else none.
+    ///
+    /// The region's demand, on which the share depends, also decides on the homes of objects.
     fn spilled_regions(
         &self,
         now: Instant,
-        fleet: &Fleet,
+        fleet: &mut Fleet,
         attempts: &Attempts,
         selection: &Selection,
     ) -> Vec<Region> {
@@ -556,7 +561,9 @@
         let work = fleet.placement.average_work(route);
         let slots = fleet.placement.region_slots(selection.release.as_ref());
         let hosts = self.state.hosts_in_region(now);
-        let share = fleet.spill.share(now, work, slots, hosts);
+        let demand = fleet.spill.demand(now, hosts);
+        fleet.placement.set_region_rate(demand);
+        let share = spill::share(demand, work, slots);
         let spills = match self.object {
             Some(object) => spill::leaves(object, share),
             None => random::<f64>() < share,
--- a/crates/entry/src/request/handler.rs
+++ b/crates/entry/src/request/handler.rs
@@ -309,6 +309,8 @@
             "objective-ms" => estimate.map(|estimate| ms(estimate.objective)),
             "rank" => estimate.map(|estimate| estimate.rank),
             "warm" => candidate.map(|candidate| candidate.hit_probability),
+            "home-rank" => candidate.and_then(|it| it.place).map(|place| place.rank.name()),
+            "object-class" => candidate.and_then(|it| it.place).map(|place| place.class.name()),
             "load-age-ms" => candidate.and_then(|candidate| candidate.load_age).map(ms),
             "speed" => figure.map(|figure| (figure.factor * 100.0).round() as u64),
             "speed-age-ms" => figure.map(|figure| ms(figure.age)),
--- a/crates/model/src/variant.rs
+++ b/crates/model/src/variant.rs
@@ -25,6 +25,8 @@
     pub speed: bool,
     /// Whether hosts ask servers for their speed before they send requests.
     pub checks: bool,
+    /// Whether objects have several homes in a region where demand and caches ask for it.
+    pub homes: bool,
     /// Whether the server is chosen with full knowledge of the queues and caches of all servers.
     pub knowing: bool,
 }
@@ -50,11 +52,12 @@
     limits: true,
     speed: true,
     checks: true,
+    homes: true,
     knowing: false,
 };
 
 /// All variants; the first one has the decisions of the daemon.
-pub const VARIANTS: [Variant; 10] = [
+pub const VARIANTS: [Variant; 11] = [
     PRESENT,
     Variant {
         name: "no-affinity",
@@ -104,6 +107,12 @@
         checks: false,
         ..PRESENT
     },
+    Variant {
+        name: "one-home",
+        description: "each object has one home in a region",
+        homes: false,
+        ..PRESENT
+    },
     Variant {
         name: "knowing",
         description: "full knowledge of queues and caches at the moment of the choice",
