feat(core): share a full service fairly between workspaces

Cause: when a service is full, requests of small workspaces are refused in the same proportion as those of a workspace that asks for many times its share. Change: request::share divides what the service answers between workspaces, max-min fair and weighted by contract rate (equal weight without contract). The demand over all hosts comes from the counts of the quotas. Requests beyond a share are sent only to servers with a queue below 0.3 of the permitted wait; those of a workspace that asks for less than its share may wait 1.25 times as long. Returning callers come first, up to half of a share. request::gate combines this with the returning callers. Nothing applies while a service refuses nothing for overload, and no message changes. Refusals are logged with the share and counted in azurenotch_entry_overload_refusals_total.

--- a/crates/core/src/process/quota.rs
+++ b/crates/core/src/process/quota.rs
@@ -321,6 +321,26 @@
         self.tokens
     }
 
+    /// Returns the requests per second of the contract; not positive without a limit.
+    pub fn rate(&self) -> f64 {
+        self.contract.rate
+    }
+
+    /// Returns the requests per second that callers send to this host, including refused ones.
+    pub fn own_demand(&self, now: Instant) -> f64 {
+        let elapsed = now.since(self.demand_at).as_secs_f64();
+        self.demand * (-elapsed / DEMAND_TIME_CONSTANT_S).exp()
+    }
+
+    /// Returns the requests per second that callers send to all hosts, including refused ones.
+    ///
+    /// Hosts that have sent no counts lately have no requests, or cannot be heard.
+    pub fn total_demand(&self, now: Instant) -> f64 {
+        let others = self.others.values();
+        let heard = others.filter(|it| now.since(it.reported) < MAX_EXTRAPOLATION);
+        self.own_demand(now) + heard.map(|it| it.demand).sum::<f64>()
+    }
+
     /// Records the counts that another host reported since its start.
     pub fn on_report(&mut self, now: Instant, host: &Host, incarnation: u64, count: Count) {
         self.refill(now);
--- a/crates/core/src/request/admission.rs
+++ b/crates/core/src/request/admission.rs
@@ -19,7 +19,7 @@
 /// Factor applied to the permitted wait of a request that has to leave room for others.
 ///
 /// The queue then stays short enough for those, while capacity that they leave is still used.
-const SHORTER_WAIT_SHARE: f64 = 0.5;
+const SHORTER_WAIT_SHARE: f64 = 0.3;
 /// Factor applied to the permitted wait of a caller that was refused before.
 ///
 /// Longer waits cost more late answers than they avoid second refusals: at 1.25, 1.5 and 2, the
--- a/crates/core/src/request/returning.rs
+++ b/crates/core/src/request/returning.rs
@@ -8,7 +8,6 @@
 
 use super::admission::Allowance;
 use azurenotch_wire::{Map, time::Instant};
-use derive_more::Display;
 use std::time::Duration;
 
 /// Width of a bucket of named times, as a factor.
@@ -33,17 +32,25 @@
 const SLACK: f64 = 2.0;
 
 /// Whether a caller comes for the first time.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Display)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum Caller {
     /// Names about as much time as most callers of the route, or none.
     #[default]
-    #[display("first")]
     First,
     /// Names clearly less time, since a part of it has passed in an earlier attempt.
-    #[display("returning")]
     Returning,
 }
 
+impl Caller {
+    /// Returns the name in logs and metrics.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::First => "first",
+            Self::Returning => "returning",
+        }
+    }
+}
+
 /// Times that the callers of one route name.
 #[derive(Debug, Clone)]
 pub struct Times {
@@ -115,6 +122,11 @@
         self.value * (-age / COUNT_TIME_CONSTANT_S).exp()
     }
 
+    /// Returns the average rate per second.
+    pub(super) fn rate(&self, now: Instant) -> f64 {
+        self.value(now) / COUNT_TIME_CONSTANT_S
+    }
+
     pub(super) fn add(&mut self, now: Instant, count: f64) {
         self.value = self.value(now) + count;
         self.at = now;
--- a/crates/entry/src/process/gossip.rs
+++ b/crates/entry/src/process/gossip.rs
@@ -163,6 +163,7 @@
         loop {
             sleep(REACH_INTERVAL).await;
             let now = self.state.now();
+            self.state.update_shares(now);
             let membership = self.state.membership.lock();
             let silence = presence::missing_after(round_interval(membership.presence.count()));
             let reach = membership.presence.reach(now, silence);
--- a/crates/entry/src/process/metrics.rs
+++ b/crates/entry/src/process/metrics.rs
@@ -27,6 +27,7 @@
     accepted: IntCounterVec,
     server_limits: IntCounterVec,
     suspects: Suspects,
+    overload: IntCounterVec,
     limited_sends: IntCounterVec,
     limited_servers: IntGaugeVec,
     limit_part: GaugeVec,
@@ -91,6 +92,7 @@
                 "New connections by port and what became of them",
                 &["port", "decision"],
             )?,
+            overload: new.overload()?,
             limited_sends: new.counters(
                 "azurenotch_entry_limited_sends_total",
                 "Sends to backend servers that have named a limit, by service",
@@ -186,6 +188,13 @@
             .observe(latency.as_secs_f64());
     }
 
+    /// Counts a request that is refused because a service is full.
+    pub fn count_overload(&self, service: &str, share: &str, caller: &str) {
+        self.overload
+            .with_label_values(&[service, share, caller])
+            .inc();
+    }
+
     /// Counts a send to a backend server.
     pub fn count_attempt(&self, service: &str, ending: &str) {
         self.attempts.with_label_values(&[service, ending]).inc();
@@ -298,6 +307,14 @@
         self.register(IntCounterVec::new(Opts::new(name, help), labels)?)
     }
 
+    fn overload(&self) -> Result<IntCounterVec, Error> {
+        self.counters(
+            "azurenotch_entry_overload_refusals_total",
+            "Requests refused by a full service, by share of the workspace and kind of caller",
+            &["service", "share", "caller"],
+        )
+    }
+
     fn gauge(&self, name: &str, help: &str) -> Result<IntGauge, Error> {
         self.register(IntGauge::new(name, help)?)
     }
--- a/crates/entry/src/process/mod.rs
+++ b/crates/entry/src/process/mod.rs
@@ -14,5 +14,6 @@
 pub mod relay;
 pub mod replica;
 pub(crate) mod server_limit;
+mod share;
 pub mod state;
 pub(crate) mod suspects;
--- a/crates/entry/src/request/forward.rs
+++ b/crates/entry/src/request/forward.rs
@@ -18,7 +18,7 @@
 use azurenotch_core::{
     request::{
         admission::{self, Decision, Estimate},
-        returning::Caller,
+        gate::{self, Applicant},
     },
     version::{
         placement::{Choice, Placement, Query},
@@ -74,8 +74,10 @@
     /// Region preferred without the limit on how fast requests move between regions.
     pub(crate) preferred_region: Option<Region>,
     pub(crate) estimate: Estimate,
-    /// Whether the caller came for the first time.
-    pub(crate) caller: Caller,
+    /// Who sent the request, as far as it matters for admission.
+    pub(crate) applicant: Applicant,
+    /// Part of the workspace's requests that lies within its share of a full service.
+    pub(crate) share: f64,
     /// Probability that the server has the object in its cache.
     pub(crate) hit_probability: f64,
     /// Age of the load that the server reported last; `None` if it has reported none.
@@ -103,8 +105,8 @@
 struct Attempts {
     /// Indices of the backend servers that the request was sent to.
     tried: Vec<usize>,
-    /// Whether the caller came for the first time.
-    caller: Caller,
+    /// Who sent the request, as far as it matters for admission.
+    applicant: Applicant,
     /// Number of sends that may have run the request.
     runs: u32,
     /// Number of sends that did not run it.
@@ -297,7 +299,7 @@
                 Some(attempts.give_up(self.reason()))
             }
             Some(Ending::Answered(response)) => {
-                self.observe_size(&response);
+                self.observe_answer(&response);
                 self.on_answer(attempts, response)
             }
             // The server was not loaded, so that the next send is no retry.
@@ -372,7 +374,7 @@
         if attempts.tried.is_empty() {
             fleet.budget.record_request(now);
             fleet.spill.count(now);
-            attempts.caller = fleet.callers.observe(self.grant.entry.hash, self.named);
+            attempts.applicant = fleet.gate.classify(now, &self.arrival(), random());
         }
         let selection = if attempts.running_version_only {
             fleet.running()
@@ -390,7 +392,7 @@
             left: self.job.deadline.since(now),
             objective: route.objective,
             rank: self.grant.rank(),
-            allowance: fleet.callers.allowance(now, attempts.caller),
+            allowance: fleet.gate.allowance(now, &attempts.applicant),
         };
         let backend = fleet.placement.backend(choice.index);
         attempts.candidate = Some(Candidate {
@@ -402,15 +404,20 @@
             allowed_regions: attempts.allowed_regions.clone(),
             preferred_region: fleet.placement.backend(preferred).region.clone(),
             estimate,
-            caller: attempts.caller,
+            applicant: attempts.applicant,
+            share: fleet.gate.shares.part(now, attempts.applicant.workspace),
             hit_probability: choice.hit_probability,
             load_age: choice.load_age,
             limit: fleet.placement.limit(now, choice.index),
         });
-        let decision = admission::decide(&estimate, random());
-        let admitted = decision == Decision::Send;
-        fleet.callers.record(now, attempts.caller, admitted);
+        let applicant = attempts.applicant;
+        let decision = fleet.gate.decide(now, &applicant, &estimate, random());
         if let Decision::Refuse(wait) = decision {
+            self.state.metrics.count_overload(
+                self.service.as_str(),
+                applicant.standing.name(),
+                applicant.caller.name(),
+            );
             return Next::Refuse(Reason::Overload, wait);
         }
         let Some(pool) = fleet.pool(choice.index) else {
@@ -443,6 +450,16 @@
         Next::Send(target)
     }
 
+    /// Returns the request as admission control sees it.
+    fn arrival(&self) -> gate::Arrival {
+        let workspace = self.grant.workspace.as_ref();
+        gate::Arrival {
+            route: self.grant.entry.hash,
+            workspace: workspace.map(|it| hash::hash32(it.name.as_str())),
+            named: self.named,
+        }
+    }
+
     /// Chooses the server; falls back to the running version if the selected one has no server.
     ///
     /// Also returns the index of the server preferred without the limit on how fast requests move
@@ -532,11 +549,12 @@
         }
     }
 
-    /// Adds the size of an answer to the average of the service.
-    fn observe_size(&self, response: &Response<Body>) {
+    /// Adds the size of an answer to the average of the service, and the capacity that it frees.
+    fn observe_answer(&self, response: &Response<Body>) {
         let length = http_body::Body::size_hint(response.body()).lower();
         if let Some(fleet) = self.state.fleets.lock().get_mut(&self.service) {
             fleet.observe_bytes(length as usize);
+            fleet.gate.shares.on_answer(self.state.now());
         }
     }
 }
--- a/crates/entry/src/version/fleet.rs
+++ b/crates/entry/src/version/fleet.rs
@@ -7,7 +7,7 @@
 };
 use azurenotch_core::{
     process::retry::{self, Budget},
-    request::returning::Callers,
+    request::gate::Gate,
     version::{
         cutover::Cutover,
         placement::{Backend, Placement, Tier},
@@ -58,8 +58,8 @@
     pub placement: Placement,
     /// Limits the retries.
     pub budget: Budget,
-    /// First-time and returning callers.
-    pub callers: Callers,
+    /// Admission while the service is full.
+    pub gate: Gate,
     /// Demand for the service in this host's region, which decides how many requests spill over.
     pub spill: Spill,
     /// Version move that is ordered, under way or ended, until its order is removed.
@@ -86,7 +86,7 @@
         Self {
             placement: Placement::new(0.0, objective),
             budget: Budget::new(limit),
-            callers: Callers::default(),
+            gate: Gate::default(),
             spill: Spill::default(),
             cutover: None,
             health_path: String::new(),
--- a/crates/model/src/engine.rs
+++ b/crates/model/src/engine.rs
@@ -16,7 +16,7 @@
 use azurenotch_core::{
     request::{
         admission::{self, Decision},
-        returning::Caller,
+        gate::Applicant,
     },
     version::placement::{Choice, Verdict},
 };
@@ -72,8 +72,9 @@
     /// Whether the caller returned after a refusal.
     returned: bool,
     tried: Vec<usize>,
-    /// Whether the caller came for the first time, as far as its host can know.
-    caller: Caller,
+    workspace: u32,
+    /// Who sent the request, as far as its host can know.
+    applicant: Applicant,
     declined: usize,
     runs: u32,
     current: Option<Send>,
@@ -87,6 +88,10 @@
     pattern: &'a Pattern,
     variant: &'a Variant,
     random: SmallRng,
+    /// Random numbers of the workspaces and their shares.
+    ///
+    /// Separate ones, so that both leave the other choices of a seed as they are.
+    share_random: SmallRng,
     now: Instant,
     queue: Queue,
     hosts: Vec<Host>,
@@ -100,6 +105,8 @@
     give_up_share: f64,
     hot: f64,
     shift: f64,
+    /// Share of the requests that the first workspace sends in addition to its equal part.
+    large: f64,
 }
 
 impl<'a> Engine<'a> {
@@ -123,6 +130,7 @@
             pattern,
             variant,
             random: SmallRng::seed_from_u64(seed),
+            share_random: SmallRng::seed_from_u64(!seed),
             now: Instant::ZERO,
             queue: Queue::default(),
             hosts: hosts.collect(),
@@ -135,6 +143,7 @@
             give_up_share: 0.0,
             hot: 0.0,
             shift: 0.0,
+            large: 0.0,
         };
         engine.update_listings();
         engine.queue.push(Instant::ZERO, Event::NextRequest);
@@ -212,7 +221,10 @@
         let host_state = &mut self.hosts[host];
         host_state.budget.record_request(now);
         host_state.spill.count(now);
-        it.caller = host_state.observe_caller(it.gives_up_at.since(now));
+        let named = self.variant.returning.then(|| it.gives_up_at.since(now));
+        let random = self.share_random.random();
+        host_state.update_shares(now);
+        it.applicant = host_state.classify(now, it.workspace, named, random);
         self.dispatch(request, host);
     }
 
@@ -225,7 +237,7 @@
             object: it.object,
             tried: &it.tried,
             left: it.attempt_deadline.since(now),
-            caller: it.caller,
+            applicant: it.applicant,
             random,
         };
         let own = &mut self.hosts[host];
@@ -413,10 +425,12 @@
             self.hosts[host].region.clone(),
         );
         let limits = self.hosts[host].limit_news(now);
+        let counts = self.hosts[host].counts();
         for (index, other) in self.hosts.iter_mut().enumerate() {
             if index == host {
                 continue;
             }
+            other.receive_counts(now, &name, &counts);
             for news in &limits {
                 other.receive_limit(now, news);
             }
--- a/crates/model/src/engine/caller.rs
+++ b/crates/model/src/engine/caller.rs
@@ -1,8 +1,8 @@
 //! Simulated callers: request times, objects, work and choice of a host.
 
 use super::{Engine, MAX_CALLER_RETRIES, OBJECTS_PER_HOT_OBJECT, POPULARITY_EXPONENT, Request};
-use crate::event::Event;
-use azurenotch_core::request::returning::Caller;
+use crate::{event::Event, host::WORKSPACES};
+use azurenotch_core::request::gate::Applicant;
 use azurenotch_wire::time::Instant;
 use rand::Rng;
 use std::time::Duration;
@@ -24,6 +24,7 @@
         };
         let retries_at_once = self.random.random_bool(self.abuse.0);
         let (object, work) = (self.pick_object(centre), self.sample_work());
+        let workspace = self.pick_workspace();
         let request = self.requests.len();
         self.requests.push(Request {
             object,
@@ -40,7 +41,8 @@
             retries_at_once,
             returned: false,
             tried: Vec::new(),
-            caller: Caller::default(),
+            workspace,
+            applicant: Applicant::default(),
             declined: 0,
             runs: 0,
             current: None,
@@ -76,6 +78,15 @@
         centre
     }
 
+    fn pick_workspace(&mut self) -> u32 {
+        let (workspace, large) = self.share_random.random::<(u32, f64)>();
+        if large < self.large {
+            0
+        } else {
+            workspace % WORKSPACES
+        }
+    }
+
     pub(super) fn pick_object(&mut self, centre: usize) -> Option<u64> {
         if self.site.objects == 0 {
             return None;
--- a/crates/model/src/engine/disturbance.rs
+++ b/crates/model/src/engine/disturbance.rs
@@ -39,6 +39,7 @@
             Disturbance::Abuse(share, times) => self.abuse = (share, times),
             Disturbance::GiveUp(share) => self.give_up_share = share,
             Disturbance::Hot(share) => self.hot = share,
+            Disturbance::Large(share) => self.large = share,
             Disturbance::Shift(share) => self.shift = share,
             Disturbance::Slow(share, factor) => {
                 for server in self.pick_servers(share) {
--- a/crates/model/src/engine/outcome.rs
+++ b/crates/model/src/engine/outcome.rs
@@ -29,7 +29,10 @@
         let took = now.since(send.at);
         own.placement.end(now, &send.choice, verdict, took);
         match verdict {
-            Verdict::Answered => self.answer(send.request),
+            Verdict::Answered => {
+                own.gate.shares.on_answer(now);
+                self.answer(send.request);
+            }
             Verdict::Shed | Verdict::Paused | Verdict::Unreachable => {
                 it.declined += 1;
                 if it.declined > MAX_DECLINED_SENDS || !own.take_retry(now) {
@@ -140,6 +143,6 @@
             return;
         }
         let started = it.started.since(Instant::ZERO).as_secs_f64();
-        self.report.record(started, outcome);
+        self.report.record(started, it.workspace, outcome);
     }
 }
--- a/crates/model/src/host.rs
+++ b/crates/model/src/host.rs
@@ -6,13 +6,15 @@
 };
 use azurenotch_core::{
     process::{
+        quota::{Contract, Count, Quota},
         retry::{Budget, Limit},
         senders::Place,
         warmup,
     },
     request::{
         admission::{self, Allowance, Decision, Estimate},
-        returning::{Caller, Callers},
+        gate::{Applicant, Arrival, Gate},
+        share::{Demand, Standing},
     },
     version::{
         limit::{Statement, max_senders},
@@ -29,6 +31,8 @@
 
 /// Time for which a host tells the others what it heard about a limit.
 const MAX_NEWS_AGE: Duration = Duration::from_secs(3);
+/// Number of workspaces; the first one may send more requests than the others.
+pub const WORKSPACES: u32 = 8;
 /// Hash of the only route.
 const ROUTE_HASH: u32 = 1;
 /// Admission rank of all requests.
@@ -51,8 +55,8 @@
     pub tried: &'a [usize],
     /// Time left until the deadline.
     pub left: Duration,
-    /// Whether the caller came for the first time, as far as the host can know.
-    pub caller: Caller,
+    /// Who sent the request, as far as the host can know.
+    pub applicant: Applicant,
     /// Random numbers in 0..1, for the spill-over and for the retry delay.
     pub random: [f64; 2],
 }
@@ -72,7 +76,10 @@
     pub spill: Spill,
     /// Retry budget, shared by all hosts.
     pub budget: Budget,
-    callers: Callers,
+    /// Admission while the service is full.
+    pub gate: Gate,
+    /// Counts of the requests of each workspace, at this host and at others.
+    quotas: Vec<Quota>,
     hosts: usize,
     region_hosts: Vec<Name>,
 }
@@ -91,7 +98,8 @@
                 slack: RETRY_SLACK,
                 window: RETRY_WINDOW,
             }),
-            callers: Callers::default(),
+            gate: Gate::default(),
+            quotas: (0..WORKSPACES).map(|_| quota()).collect(),
             hosts: names.len(),
             region_hosts: region_hosts.map(|(name, _)| name.clone()).collect(),
             name,
@@ -182,9 +190,53 @@
         object.map_or(random < share, |object| spill::leaves(object, share))
     }
 
-    /// Returns which kind of caller sent a request with this much time left.
-    pub fn observe_caller(&mut self, left: Duration) -> Caller {
-        self.callers.observe(ROUTE_HASH, Some(left))
+    /// Returns who sent a request of a workspace that names this much time.
+    pub fn classify(
+        &mut self,
+        now: Instant,
+        workspace: u32,
+        named: Option<Duration>,
+        random: f64,
+    ) -> Applicant {
+        // There are no contracts, so that nothing is refused here.
+        let _unlimited = self.quotas[workspace as usize].take(now);
+        let arrival = Arrival {
+            route: ROUTE_HASH,
+            workspace: Some(workspace),
+            named,
+        };
+        self.gate.classify(now, &arrival, random)
+    }
+
+    /// Returns the requests of each workspace at this host, for the other hosts.
+    pub fn counts(&self) -> Vec<Count> {
+        self.quotas.iter().map(Quota::count).collect()
+    }
+
+    /// Takes in the requests of each workspace at another host.
+    pub fn receive_counts(&mut self, now: Instant, host: &Name, counts: &[Count]) {
+        for (quota, count) in self.quotas.iter_mut().zip(counts) {
+            quota.on_report(now, host, 0, *count);
+        }
+    }
+
+    /// Computes the shares of the workspaces if the service is full.
+    pub fn update_shares(&mut self, now: Instant) {
+        if !self.gate.shares.is_due(now) {
+            return;
+        }
+        let demands = self
+            .quotas
+            .iter()
+            .zip(0..)
+            .map(|(quota, workspace)| Demand {
+                workspace,
+                own: quota.own_demand(now),
+                total: quota.total_demand(now),
+                rate: quota.rate(),
+            });
+        let demands: Vec<Demand> = demands.collect();
+        self.gate.shares.update(now, &demands);
     }
 
     /// Decides whether an attempt is sent to the chosen server or refused.
@@ -210,16 +262,19 @@
             left: attempt.left,
             objective: site.objective,
             rank: REQUEST_RANK,
-            allowance: if variant.returning {
-                self.callers.allowance(now, attempt.caller)
-            } else {
-                Allowance::Usual
-            },
+            allowance: self.allowance(now, variant, &attempt.applicant),
         };
-        let decision = admission::decide(&estimate, attempt.random[1]);
-        let admitted = decision == Decision::Send;
-        self.callers.record(now, attempt.caller, admitted);
-        decision
+        let random = attempt.random[1];
+        self.gate.decide(now, &attempt.applicant, &estimate, random)
+    }
+
+    /// Returns how long a request may wait with the decisions of a variant.
+    fn allowance(&self, now: Instant, variant: &Variant, applicant: &Applicant) -> Allowance {
+        let mut applicant = *applicant;
+        if !variant.shares {
+            applicant.standing = Standing::Within;
+        }
+        self.gate.allowance(now, &applicant)
     }
 
     /// Takes one retry from the budget; returns whether one was left.
@@ -294,3 +349,12 @@
 fn number(server: &Server) -> usize {
     server.as_str().parse().unwrap_or_default()
 }
+
+/// Returns the counts of a workspace without a contract.
+fn quota() -> Quota {
+    let unlimited = Contract {
+        rate: 0.0,
+        burst: 0.0,
+    };
+    Quota::new(Instant::ZERO, unlimited, true)
+}
--- a/crates/model/src/pattern.rs
+++ b/crates/model/src/pattern.rs
@@ -13,6 +13,8 @@
     GiveUp(f64),
     /// Directs this share of the requests at hot objects, one of every 50.
     Hot(f64),
+    /// Makes one of the workspaces send this share of the requests beside its equal part of the rest.
+    Large(f64),
     /// Moves this share of the callers of the first data centre to the last one.
     Shift(f64),
     /// Makes this share of the backend servers slower by this factor.
@@ -76,7 +78,7 @@
 }
 
 /// All patterns.
-pub const PATTERNS: [Pattern; 21] = [
+pub const PATTERNS: [Pattern; 22] = [
     pattern("calm", "usual load with warm caches", &[]),
     Pattern {
         counted_from_s: 0.0,
@@ -127,6 +129,18 @@
             (18.0, Disturbance::Rate(1.0)),
         ],
     ),
+    Pattern {
+        counted_from_s: 12.0,
+        length: Duration::from_secs(18),
+        ..pattern(
+            "large",
+            "four times the usual load for 6 s, most of it from one of eight workspaces",
+            &[
+                (12.0, Disturbance::Large(0.75)),
+                (12.0, Disturbance::Rate(4.0)),
+            ],
+        )
+    },
     pattern(
         "peaks",
         "three times the usual load for 1 s, three times",
--- a/crates/model/src/report.rs
+++ b/crates/model/src/report.rs
@@ -1,6 +1,7 @@
 //! Outcomes of requests as callers see them.
 
-use crate::arrival::Usage;
+use crate::{arrival::Usage, host::WORKSPACES};
+use azurenotch_core::request::share::{self, Claim};
 use hdrhistogram::Histogram;
 use std::fmt::{self, Display, Formatter};
 
@@ -55,6 +56,8 @@
     pub returns: u64,
     /// Attempts of such callers that were refused again.
     pub refused_again: u64,
+    /// Requests of each workspace, and those of them that were answered.
+    pub workspaces: [(u64, u64); WORKSPACES as usize],
     /// Latency of answers in milliseconds.
     pub latency: Histogram<u64>,
     /// What servers that named a limit got.
@@ -76,6 +79,7 @@
             failed: 0,
             sends: 0,
             returns: 0,
+            workspaces: Default::default(),
             refused_again: 0,
             latency: latency.expect("the bounds are valid"),
             limits: Usage::default(),
@@ -85,7 +89,7 @@
     }
 
     /// Records the outcome of a request that began `started_s` seconds after the start of the run.
-    pub fn record(&mut self, started_s: f64, outcome: Outcome) {
+    pub fn record(&mut self, started_s: f64, workspace: u32, outcome: Outcome) {
         let credit = match outcome {
             Outcome::Answered { in_time: true, .. } => 1.0,
             Outcome::Answered { .. } => LATE_CREDIT,
@@ -100,6 +104,9 @@
         if started_s < self.counted_from_s {
             return;
         }
+        let (asked, answered) = &mut self.workspaces[workspace as usize];
+        *asked += 1;
+        *answered += u64::from(matches!(outcome, Outcome::Answered { .. }));
         match outcome {
             Outcome::Answered { ms, in_time } => {
                 self.latency.saturating_record(ms.max(1));
@@ -122,6 +129,10 @@
         self.failed += other.failed;
         self.sends += other.sends;
         self.returns += other.returns;
+        for (own, other) in self.workspaces.iter_mut().zip(&other.workspaces) {
+            own.0 += other.0;
+            own.1 += other.1;
+        }
         self.refused_again += other.refused_again;
         self.latency += &other.latency;
         self.limits.add(&other.limits);
@@ -150,6 +161,21 @@
         self.refused_again as f64 / (self.returns as f64).max(1.0)
     }
 
+    /// Returns the smallest share that a workspace got of its max-min fair share of the answers.
+    pub fn fairness(&self) -> f64 {
+        let claim = |(asked, _): &(u64, u64)| Claim {
+            demand: *asked as f64,
+            weight: 1.0,
+        };
+        let claims: Vec<Claim> = self.workspaces.iter().map(claim).collect();
+        let answered: u64 = self.workspaces.iter().map(|it| it.1).sum();
+        let fair = share::divide(answered as f64, &claims);
+        let got = self.workspaces.iter().zip(fair);
+        got.filter(|(_, fair)| *fair > 0.0)
+            .map(|((_, answered), fair)| *answered as f64 / fair)
+            .fold(1.0, f64::min)
+    }
+
     /// Returns the credit per request in the worst window of two seconds; 1 if no window counts.
     pub fn worst(&self) -> f64 {
         let from = self.counted_from_s as usize;
@@ -170,7 +196,7 @@
         let quantile = |it: f64| self.latency.value_at_quantile(it);
         write!(
             f,
-            "{:>7.3} {:>7.3} {:>7.1} {:>6.1} {:>8.1} {:>7.1} {:>7.2} {:>7} {:>7} {:>7} {:>7.2} {:>7.2} {:>7.1}",
+            "{:>7.3} {:>7.3} {:>7.1} {:>6.1} {:>8.1} {:>7.1} {:>7.2} {:>7} {:>7} {:>7} {:>7.2} {:>7.2} {:>7.1} {:>7.2}",
             self.served(),
             self.worst(),
             share(self.in_time),
@@ -184,6 +210,7 @@
             self.limits.worst,
             self.limits.sent / self.limits.taken.max(1.0),
             100.0 * self.again(),
+            self.fairness(),
         )
     }
 }
@@ -192,4 +219,5 @@
 ///
 /// `bound` is the largest share of the requests in 4 s that a named limit allows, `used` the share of
 /// the limits that was used, and `again%` the share of returning callers that are refused again.
-pub const HEADER: &str = " served   worst in-time%  late% refused% failed%   sends  p50 ms  p90 ms  p99 ms   bound    used  again%";
+/// `fair` is the smallest share that a workspace got of its max-min fair share of the answers.
+pub const HEADER: &str = " served   worst in-time%  late% refused% failed%   sends  p50 ms  p90 ms  p99 ms   bound    used  again%    fair";
--- a/crates/model/src/variant.rs
+++ b/crates/model/src/variant.rs
@@ -23,6 +23,8 @@
     pub limits: bool,
     /// Whether callers that return after a refusal may wait longer.
     pub returning: bool,
+    /// Whether a full service is shared fairly between workspaces.
+    pub shares: bool,
     /// Whether the server is chosen with full knowledge of the queues and caches of all servers.
     pub knowing: bool,
 }
@@ -47,11 +49,12 @@
     gossip: true,
     limits: true,
     returning: true,
+    shares: true,
     knowing: false,
 };
 
 /// All variants; the first one has the decisions of the daemon.
-pub const VARIANTS: [Variant; 9] = [
+pub const VARIANTS: [Variant; 10] = [
     PRESENT,
     Variant {
         name: "no-affinity",
@@ -95,6 +98,12 @@
         returning: false,
         ..PRESENT
     },
+    Variant {
+        name: "no-shares",
+        description: "a full service is not shared between workspaces",
+        shares: false,
+        ..PRESENT
+    },
     Variant {
         name: "knowing",
         description: "full knowledge of queues and caches at the moment of the choice",
--- a/crates/model/tests/pattern.rs
+++ b/crates/model/tests/pattern.rs
@@ -117,6 +117,21 @@
     );
 }
 
+/// Guards against small workspaces that are refused because a large one fills the service.
+///
+/// `least` is what the workspace that comes off worst gets of its max-min fair share. It is low on
+/// the site without objects, where many requests are admitted that time out.
+#[test_case("wide", 0.9)]
+#[test_case("narrow", 0.8)]
+#[test_case("plain", 0.5)]
+fn a_full_service_is_shared_fairly(name: &str, least: f64) {
+    let (site, pattern) = (site(name), pattern("large"));
+    let without = run_seeds(site, pattern, variant("no-shares"));
+    assert!(without.fairness() < least, "{without}");
+    let present = run_seeds(site, pattern, variant("present"));
+    assert!(present.fairness() >= least, "{present}");
+}
+
 /// Guards against servers that get more than the limit that they name, and limits left unused.
 #[test_case("wide", "limited")]
 #[test_case("wide", "limited-most")]
