fix(entry): log the share and kind of caller for refused requests only

Cause: the fields caller, standing and share stood in the line of each request, so that the log of a deployment whose services are never full grew. Change: they are written with the reason overload only.

--- a/crates/entry/src/request/handler.rs
+++ b/crates/entry/src/request/handler.rs
@@ -287,6 +287,7 @@
         let candidate = outcome.candidate.as_ref();
         let left_us = |time: Duration| time.as_micros() as i64 - latency.as_micros() as i64;
         let estimate = candidate.map(|candidate| &candidate.estimate);
+        let refused = candidate.filter(|_| outcome.reason == Some(Reason::Overload));
         let line = o!(
             "id" => &self.id, "status" => status, "reason" => reason, "ran" => outcome.ran,
             "route" => &self.route, "workspace" => &self.workspace,
@@ -308,9 +309,9 @@
             "left-ms" => estimate.map(|estimate| ms(estimate.left)),
             "objective-ms" => estimate.map(|estimate| ms(estimate.objective)),
             "rank" => estimate.map(|estimate| estimate.rank),
-            "caller" => candidate.map(|it| it.applicant.caller.name()),
-            "standing" => candidate.map(|it| it.applicant.standing.name()),
-            "share" => candidate.map(|candidate| candidate.share),
+            "caller" => refused.map(|it| it.applicant.caller.name()),
+            "standing" => refused.map(|it| it.applicant.standing.name()),
+            "share" => refused.map(|candidate| candidate.share),
             "warm" => candidate.map(|candidate| candidate.hit_probability),
             "load-age-ms" => candidate.and_then(|candidate| candidate.load_age).map(ms),
             "limit-per-s" => candidate.and_then(|candidate| candidate.limit),
