refactor(usage): work that each request and each datagram round repeats

Change: sends are counted by the median of the last round, as the design says; counts are prepared for regular rounds and by collectors only; one bound, one conversion to milliseconds; the unused derives are gone. The hash of the own name is computed once for a configuration. Nothing is measured.

--- a/crates/core/src/process/usage.rs
+++ b/crates/core/src/process/usage.rs
@@ -22,7 +22,7 @@
 pub use row::{Counts, Holder, Report, Row, Stored};
 pub use tally::{Part, Tally};
 
-use super::wall::Time;
+use super::wall::{self, Time};
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
@@ -34,6 +34,11 @@
 /// Least number of reports that the row keeps.
 const MIN_KEPT_REPORTS: u32 = 4;
 
+/// Number of windows beyond the present one that have counts.
+///
+/// Clocks differ, and a run may just have begun.
+const MAX_AHEAD: u64 = 1;
+
 /// Terms of the duty to report.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Setting {
@@ -83,6 +88,11 @@
         Self(time.0 / length_ms(setting))
     }
 
+    /// Returns the last window of which there may be counts at `now`.
+    fn last(now: Time, setting: &Setting) -> Self {
+        Self(Self::at(now, setting).0 + MAX_AHEAD)
+    }
+
     /// Returns the begin of the window.
     pub fn begin(self, setting: &Setting) -> Time {
         Time(self.0.saturating_mul(length_ms(setting)))
@@ -100,9 +110,7 @@
 }
 
 fn length_ms(setting: &Setting) -> u64 {
-    u64::try_from(setting.window.as_millis())
-        .unwrap_or(u64::MAX)
-        .max(1)
+    wall::millis(setting.window).max(1)
 }
 
 #[cfg(test)]
--- a/crates/core/src/process/usage/ledger.rs
+++ b/crates/core/src/process/usage/ledger.rs
@@ -8,9 +8,6 @@
 };
 use std::collections::BTreeMap;
 
-/// Number of windows beyond the present one that are accepted, as clocks differ.
-const MAX_AHEAD: u64 = 1;
-
 /// Counts of all hosts, this one included, by window.
 ///
 /// Counts of a host are cumulative, so that the highest one received counts. Repeated and outdated
@@ -35,7 +32,7 @@
     /// Windows that can no longer be written at `now`, or are far ahead, are ignored and dropped.
     pub fn receive(&mut self, now: Time, host: &Host, incarnation: Incarnation, part: &Part) {
         let setting = self.setting;
-        let last = Window(Window::at(now, &setting).0 + MAX_AHEAD);
+        let last = Window::last(now, &setting);
         self.windows.retain(|window, _| window.due(&setting) > now);
         for (workspace, counts) in &part.rows {
             for (window, count) in (part.first.0..=last.0).zip(counts) {
--- a/crates/core/src/process/usage/row.rs
+++ b/crates/core/src/process/usage/row.rs
@@ -2,14 +2,13 @@
 
 use super::Window;
 use azurenotch_wire::id::{Host, Incarnation};
-use serde::{Deserialize, Serialize};
 use std::{collections::BTreeMap, time::Duration};
 
 /// Number of sends that servers began to run, by the hash of the workspace.
 pub type Counts = BTreeMap<u32, u32>;
 
 /// Report of one window.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Report {
     /// Window.
     pub window: Window,
@@ -25,7 +24,7 @@
 }
 
 /// Host that holds the duty.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Holder {
     /// Name of the host.
     pub host: Host,
@@ -34,7 +33,7 @@
 }
 
 /// Content of the row.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Row {
     /// Fencing token of the holder.
     pub token: u64,
--- a/crates/core/src/process/usage/tally.rs
+++ b/crates/core/src/process/usage/tally.rs
@@ -5,8 +5,6 @@
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
-/// Number of windows beyond the present one that are sent, as a run may just have begun.
-const MAX_AHEAD: u64 = 1;
 /// Time for which counts are kept before and after they are sent, as a multiple of the time until a
 /// report is due.
 ///
@@ -61,7 +59,7 @@
         self.windows.retain(|window, _| {
             window.due(&setting) + kept > now && window.begin(&setting) < now + kept
         });
-        let last = Window(Window::at(now, &setting).0 + MAX_AHEAD);
+        let last = Window::last(now, &setting);
         let open = self.windows.range(..=last);
         let mut open = open.filter(|(window, _)| window.due(&setting) > now);
         let Some(first) = open.next().map(|(window, _)| *window) else {
--- a/crates/core/src/process/wall.rs
+++ b/crates/core/src/process/wall.rs
@@ -54,6 +54,17 @@
     }
 }
 
+/// Offset of the true time from this host's steady clock, in milliseconds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Offset(i64);
+
+impl Offset {
+    /// Returns the true time at `now`.
+    pub fn time(self, now: Instant) -> Time {
+        Time(elapsed_ms(now).saturating_add_signed(self.0))
+    }
+}
+
 /// Offsets of the times of day of the hosts from this host's steady clock.
 ///
 /// The offset of a host comes from its last datagram. A host that is no longer reachable must be
@@ -89,9 +100,14 @@
     }
 
     /// Returns the true time, or `None` before the first reading.
-    ///
-    /// Of two offsets in the middle, the mean counts.
     pub fn time(&self, now: Instant) -> Option<Time> {
+        self.offset().map(|offset| offset.time(now))
+    }
+
+    /// Returns the offset of the true time, or `None` before the first reading.
+    ///
+    /// Of two offsets in the middle, the mean counts. The time this takes grows with the number of hosts.
+    pub fn offset(&self) -> Option<Offset> {
         let mut offsets: Vec<i64> = self.others.values().copied().chain(self.own).collect();
         let middle = offsets.len() / 2;
         if offsets.is_empty() {
@@ -101,7 +117,7 @@
         let (below, median, _) = offsets.select_nth_unstable(middle);
         let lower = below.iter().max().filter(|_| is_even);
         let median = lower.map_or(*median, |lower| lower.midpoint(*median));
-        Some(Time(elapsed_ms(now).saturating_add_signed(median)))
+        Some(Offset(median))
     }
 }
 
@@ -113,7 +129,8 @@
     now.as_nanos() / 1_000_000
 }
 
-fn millis(duration: Duration) -> u64 {
+/// Returns a duration in milliseconds, the resolution of the time of day.
+pub(super) fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
 
--- a/crates/entry/src/process/change.rs
+++ b/crates/entry/src/process/change.rs
@@ -180,6 +180,7 @@
 
     fn adopt_services(&self, now: Instant, config: &Config) -> usize {
         let limit = repeat_limit(&self.setting());
+        let own = hash64(self.own.host.as_str());
         let mut fleets = self.fleets.lock();
         let mut added = false;
         for (service, service_config) in &config.services {
@@ -188,8 +189,7 @@
                 Fleet::new(objective(config, service), limit)
             });
             fleet.set_config(service_config);
-            let own = self.own.host.as_str();
-            fleet.placement.set_host(hash64(own));
+            fleet.placement.set_host(own);
             fleet.placement.set_drain(last_resort_time(&self.setting()));
         }
         let count = fleets.len();
--- a/crates/entry/src/process/gossip/usage.rs
+++ b/crates/entry/src/process/gossip/usage.rs
@@ -27,26 +27,30 @@
 
 impl Gossip {
     /// Returns what a round says about usage; `None` if the settings do not ask for reports.
+    ///
+    /// Only a regular round has the counts.
     pub(super) fn usage_round(&self, round: &Round, is_regular: bool) -> Option<UsageRound> {
         let state = &self.state;
         let book = state.usage.as_ref()?;
-        let now = state.now();
-        let collectors = state.collectors(now);
-        let taken = round.largest_body() + MAX_OTHER_BYTES;
-        let room = MAX_DATAGRAM_BYTES.saturating_sub(taken);
-        let mut book = book.lock();
-        let parts = book.parts(now, room.max(MIN_COUNTS_BYTES));
-        let claim = book.claim();
-        let receivers = book.receivers(collectors);
-        drop(book);
-        // A part consists of numbers, which can always be encoded.
-        let encode = |part: &Part| rmp_serde::to_vec(part).ok();
-        Some(UsageRound {
+        let mut said = UsageRound {
             wall_ms: state.dependencies.clock.wall_ms(),
-            claim,
-            receivers: if is_regular { receivers } else { Vec::new() },
-            counts: parts.iter().filter_map(encode).collect(),
-        })
+            claim: book.lock().claim(),
+            receivers: Vec::new(),
+            counts: Vec::new(),
+        };
+        if is_regular {
+            let now = state.now();
+            let collectors = state.collectors(now);
+            let taken = round.largest_body() + MAX_OTHER_BYTES;
+            let room = MAX_DATAGRAM_BYTES.saturating_sub(taken);
+            let mut book = book.lock();
+            let parts = book.parts(now, room.max(MIN_COUNTS_BYTES));
+            // A part consists of numbers, which can always be encoded.
+            let encode = |part: &Part| rmp_serde::to_vec(part).ok();
+            said.counts = parts.iter().filter_map(encode).collect();
+            said.receivers = book.receivers(collectors);
+        }
+        Some(said)
     }
 
     /// Returns the ends of the datagrams for a host; at least one.
--- a/crates/entry/src/process/usage.rs
+++ b/crates/entry/src/process/usage.rs
@@ -17,7 +17,7 @@
         Claim, Claims, Ledger, Part, Setting, Tally, Window,
         order::{self, Candidate},
     },
-    wall::{Clock, Time},
+    wall::{Clock, Offset, Time},
 };
 use azurenotch_wire::{
     Map,
@@ -39,6 +39,8 @@
     tally: Tally,
     ledger: Ledger,
     clock: Clock,
+    /// Offset of the true time as of the last round, by which sends are counted.
+    offset: Option<Offset>,
     claims: Claims,
     /// Other hosts with the time of their last datagram that was about usage.
     ///
@@ -70,6 +72,7 @@
             setting,
             tally: Tally::new(setting),
             ledger: Ledger::new(setting),
+            offset: clock.offset(),
             clock,
             claims: Claims::default(),
             members: Map::default(),
@@ -80,8 +83,8 @@
 
     /// Counts a send that a server began to run at `began`, for the hash of its workspace.
     pub fn record(&mut self, began: Instant, workspace: u32) {
-        if let Some(began) = self.clock.time(began) {
-            self.tally.record(began, workspace);
+        if let Some(offset) = self.offset {
+            self.tally.record(offset.time(began), workspace);
         }
     }
 
@@ -160,6 +163,7 @@
         for host in self.members.keys().filter(|host| !is_reachable(host)) {
             self.clock.forget(host);
         }
+        self.offset = self.clock.offset();
     }
 
     /// Returns the time since the end of the last window whose report was accepted, if any was.
--- a/crates/entry/src/process/usage/duty.rs
+++ b/crates/entry/src/process/usage/duty.rs
@@ -102,8 +102,10 @@
             return Action::Wait(state.dependencies.clock.steady() + POLL_INTERVAL);
         };
         let mut book = book.lock();
-        // The report of a window includes what this host counted since its last round.
-        book.parts(now, OWN_PART_BYTES);
+        if rank.is_some() {
+            // The report of a window includes what this host counted since its last round.
+            book.parts(now, OWN_PART_BYTES);
+        }
         let moments = moments(state, book.time(now));
         let view = View {
             rank: rank.filter(|_| !state.is_leaving()),
