--- a/crates/core/src/version/placement/check.rs
+++ b/crates/core/src/version/placement/check.rs
@@ -12,6 +12,8 @@
 
 /// Time in which a server answers a health check, in addition to the round trip.
 const ANSWER_TIME: Duration = Duration::from_millis(3);
+/// Time within which a health check has to be answered on an open connection.
+pub const MAX_CHECK_TIME: Duration = Duration::from_millis(30);
 /// Time for which the result of a health check serves all requests.
 const VALIDITY: Duration = Duration::from_millis(100);
 
--- a/crates/core/src/version/placement/speed.rs
+++ b/crates/core/src/version/placement/speed.rs
@@ -15,7 +15,7 @@
 /// Weight of the prior of an age class, in pairs of figures.
 const PRIOR_PAIRS: f64 = 3.0;
 /// Weight at which older figures are halved, so that the estimates follow a change.
-const MAX_FIGURES: f64 = 200.0;
+const MAX_WEIGHT: f64 = 200.0;
 /// Number of pairs at which the older ones of an age class are halved.
 const MAX_PAIRS: f64 = 60.0;
 /// Time since the former figure of a server from which a figure counts fully.
@@ -28,6 +28,8 @@
 pub(super) const SLOW_FACTOR: f64 = 1.15;
 /// Relative spread above which health checks before a send are made.
 const MIN_CHECKED_SPREAD: f64 = 0.15;
+/// Maximum number of figures that a host passes on at a time, and takes in from another one.
+pub const MAX_PASSED_ON: usize = 40;
 /// Number of figures from which the spread is known.
 const MIN_FIGURES: f64 = 10.0;
 
@@ -192,7 +194,7 @@
         }
         let age = former.map_or(FULL_WEIGHT_AGE, |former| former.age);
         let weight = (age.as_secs_f64() / FULL_WEIGHT_AGE.as_secs_f64()).min(1.0);
-        if self.all.weight > MAX_FIGURES {
+        if self.all.weight > MAX_WEIGHT {
             self.all.scale(0.5);
             self.slow.scale(0.5);
         }
@@ -342,6 +344,19 @@
     }
 }
 
+/// Returns the figures to pass on, those that differ most: at most [`MAX_PASSED_ON`].
+///
+/// Takes what [`Placement::figures`] returns, for one service or for several.
+pub fn most_different(
+    mut figures: Vec<(u32, Figure, f64)>,
+) -> impl ExactSizeIterator<Item = (u32, Figure)> {
+    figures.sort_by(|(.., one), (.., other)| other.total_cmp(one));
+    figures.truncate(MAX_PASSED_ON);
+    figures
+        .into_iter()
+        .map(|(server, figure, _)| (server, figure))
+}
+
 /// Returns how long work took that has just ended, as a multiple of the usual, because of the speed.
 ///
 /// The figure that was known at the choice and the one in the answer say it; the one counts that
--- a/crates/entry/src/process/message.rs
+++ b/crates/entry/src/process/message.rs
@@ -6,15 +6,16 @@
 };
 use azurenotch_core::{
     process::{echo::Echo, moment::Moment, quota::Count, suspect::News, usage},
-    version::{cutover::Evidence, limit, placement::Figure},
+    version::{
+        cutover::Evidence,
+        limit,
+        placement::{self, Figure, MAX_PASSED_ON},
+    },
 };
 use azurenotch_wire::time::Instant;
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use std::time::Duration;
 
-/// Maximum number of figures in one message.
-const MAX_FIGURES: usize = 40;
-
 /// Parts of a datagram.
 #[derive(Debug)]
 pub(crate) struct Datagram {
@@ -151,10 +152,8 @@
 
 impl Speeds {
     /// Creates the part from figures and their difference from the mean, the largest of which it has.
-    pub(crate) fn new(mut figures: Vec<(u32, Figure, f64)>) -> Self {
-        figures.sort_by(|(.., one), (.., other)| other.total_cmp(one));
-        figures.truncate(MAX_FIGURES);
-        let figures = figures.into_iter().map(|(server, figure, _)| {
+    pub(crate) fn new(figures: Vec<(u32, Figure, f64)>) -> Self {
+        let figures = placement::most_different(figures).map(|(server, figure)| {
             let age = u16::try_from(figure.age.as_millis()).unwrap_or(u16::MAX);
             (server, (figure.factor * 100.0).round() as u32, age)
         });
@@ -167,7 +166,7 @@
     pub(crate) fn figures(&self) -> impl Iterator<Item = (u32, Figure)> {
         // A figure of zero is none.
         let plausible = self.figures.iter().filter(|(_, percent, _)| *percent > 0);
-        plausible.take(MAX_FIGURES).map(|it| {
+        plausible.take(MAX_PASSED_ON).map(|it| {
             let (server, percent, age_ms) = *it;
             let figure = Figure {
                 factor: f64::from(percent) / 100.0,
--- a/crates/entry/src/process/message/tests.rs
+++ b/crates/entry/src/process/message/tests.rs
@@ -1,6 +1,6 @@
 //! Optional parts at the end of a datagram.
 
-use super::{Figure, MAX_FIGURES, Speeds, decode_optional};
+use super::{Figure, MAX_PASSED_ON, Speeds, decode_optional};
 use std::time::Duration;
 
 fn figure(factor: f64, age_ms: u64) -> Figure {
@@ -17,10 +17,10 @@
     let slow = (60..90).map(|server| (server, figure(2.5, 150), 1.3));
     let part = Speeds::new(usual.chain(slow).collect());
     let bytes = rmp_serde::to_vec(&part).expect("the part is encoded");
-    assert!(bytes.len() <= 12 * MAX_FIGURES, "{} bytes", bytes.len());
+    assert!(bytes.len() <= 12 * MAX_PASSED_ON, "{} bytes", bytes.len());
     let received: Speeds = decode_optional(&mut bytes.as_slice()).expect("the part is decoded");
     let received: Vec<_> = received.figures().collect();
-    assert_eq!(received.len(), MAX_FIGURES);
+    assert_eq!(received.len(), MAX_PASSED_ON);
     for server in 60..90 {
         assert!(received.contains(&(server, figure(2.5, 150))), "{server}");
     }
--- a/crates/entry/src/request/check.rs
+++ b/crates/entry/src/request/check.rs
@@ -11,15 +11,12 @@
         head,
     },
 };
-use azurenotch_core::version::placement::Finding;
+use azurenotch_core::version::placement::{Finding, MAX_CHECK_TIME};
 use derive_more::Display;
 use http::{HeaderMap, StatusCode};
 use http_body_util::{BodyExt, Limited};
-use std::time::Duration;
 use tokio::{select, time::timeout};
 
-/// Time within which a health check has to be answered on an open connection.
-const MAX_TIME: Duration = Duration::from_millis(30);
 /// Largest body of the answer to a health check.
 const MAX_BODY_BYTES: usize = 16 * 1024;
 
@@ -87,7 +84,7 @@
             Ok(lease) => lease,
             Err(error) => return (Label::Unreachable, Next::Send(Some(Err(error)))),
         };
-        let Ok(answer) = timeout(MAX_TIME, self.exchange(lease)).await else {
+        let Ok(answer) = timeout(MAX_CHECK_TIME, self.exchange(lease)).await else {
             return (Label::Timeout, Next::Send(None));
         };
         let Some((finding, lease)) = answer else {
--- a/crates/model/src/engine/speed.rs
+++ b/crates/model/src/engine/speed.rs
@@ -2,15 +2,9 @@
 
 use super::Engine;
 use crate::event::{Check, Event};
-use azurenotch_core::version::placement::{Choice, Figure, Finding, Report};
+use azurenotch_core::version::placement::{self, Choice, Figure, Finding, MAX_CHECK_TIME, Report};
 use azurenotch_wire::time::Instant;
 use rand::Rng;
-use std::time::Duration;
-
-/// Longest time for which a host waits for the answer to a health check.
-const CHECK_TIMEOUT: Duration = Duration::from_millis(30);
-/// Largest number of figures that a host reports to other hosts at a time.
-const MAX_FIGURES: usize = 40;
 
 impl Engine<'_> {
     /// Schedules the first periods of the servers, which do not begin at the same time.
@@ -49,12 +43,7 @@
     /// Returns the figures that a host reports to the others.
     pub(super) fn figures(&self, host: usize) -> Vec<(u32, Figure)> {
         let placement = &self.hosts[host].placement;
-        let mut figures: Vec<_> = placement.figures(self.now).collect();
-        figures.sort_by(|one, other| other.2.total_cmp(&one.2));
-        let figures = figures.into_iter().take(MAX_FIGURES);
-        figures
-            .map(|(server, figure, _)| (server, figure))
-            .collect()
+        placement::most_different(placement.figures(self.now).collect()).collect()
     }
 
     /// Asks the chosen server for its speed if that pays; returns whether it does.
@@ -87,7 +76,7 @@
         let delay = self.one_way_delay(check.host, check.server);
         let at = match report {
             Some(_) => self.now + delay,
-            None => self.now - delay + CHECK_TIMEOUT,
+            None => self.now - delay + MAX_CHECK_TIME,
         };
         self.queue.push(at, Event::CheckEnded { check, report });
     }
