refactor(platform): the platform's word for the duty stays out of entry

Cause: the parser of the settings compared sections with usage_report, a word of the platform, which only platform/ and deploy/ may know.

--- a/crates/entry/src/setting/tests.rs
+++ b/crates/entry/src/setting/tests.rs
@@ -47,8 +47,8 @@
 
 #[test_case(&[], false; "no duty")]
 #[test_case(&["usage"], true; "without a name")]
-#[test_case(&["usage usage_report"], true; "the only duty")]
-#[test_case(&["usage other", "usage usage_report", "usage third"], true; "one of several duties")]
+#[test_case(&["usage usage-reports"], true; "the only duty")]
+#[test_case(&["usage other", "usage usage-reports", "usage third"], true; "one of several duties")]
 #[test_case(&["usage other"], false; "another duty")]
 fn usage_is_reported_only_with_its_section(headers: &[&str], expected: bool) {
     let sections = headers.iter().map(|it| format!("[{it}]\n{USAGE}"));
@@ -67,7 +67,7 @@
 #[test_case("window-s = 5", "window-s = 0"; "no window")]
 #[test_case("late-s = 10", "late-s = soon"; "not a number")]
 fn wrong_settings_of_usage_are_refused(right: &str, wrong: &str) {
-    let section = format!("[usage usage_report]\n{USAGE}").replace(right, wrong);
+    let section = format!("[usage usage-reports]\n{USAGE}").replace(right, wrong);
     assert!(Setting::parse(&(TEXT.to_owned() + &section)).is_err());
 }
 
--- a/crates/entry/src/setting/usage.rs
+++ b/crates/entry/src/setting/usage.rs
@@ -5,7 +5,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 /// Name of the section in settings that list several duties of the hosts.
-const DUTY: &str = "usage_report";
+const DUTY: &str = "usage-reports";
 
 /// Section `[usage]`: reports of the requests that servers ran for each workspace.
 ///
@@ -24,11 +24,9 @@
 
 /// Returns whether a section with this name is about a duty other than usage reports.
 ///
-/// The template renders one section for each duty that the platform names; the duty is the last word.
+/// The template renders one section for each duty that the platform names.
 pub(super) fn is_other_duty(name: &str) -> bool {
-    name.split_whitespace()
-        .last()
-        .is_some_and(|duty| duty != DUTY)
+    !name.is_empty() && name != DUTY
 }
 
 /// Reads the section.
